--- /dev/null
+++ b/mosswalk/api/__init__.py
@@ -0,0 +1,101 @@
+"""The port that users, workers and health checks speak to."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Awaitable, Callable
+
+import msgspec
+from aiohttp import web
+
+from mosswalk.api.jobs import JobDesk, Reply
+from mosswalk.wire.users import MAX_BODY_BYTES, Failure
+from mosswalk.wire.workers import Report
+
+log = logging.getLogger(__name__)
+
+_JSON = "application/json"
+_MAX_REPORT_BYTES = 4 * 1024 * 1024
+_report_decoder = msgspec.json.Decoder(Report)
+
+Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
+
+
+def error_body(text: str) -> bytes:
+    """A short error as JSON."""
+    return msgspec.json.encode(Failure(text[:300]))
+
+
+def _response(reply: Reply) -> web.Response:
+    headers = {"Retry-After": str(reply.retry_after_s)} if reply.retry_after_s else None
+    return web.Response(status=reply.status, body=reply.body, content_type=_JSON, headers=headers)
+
+
+@web.middleware
+async def json_errors(request: web.Request, handler: Handler) -> web.StreamResponse:
+    """Every refusal is JSON; a failure of ours is a 503, never a traceback."""
+    try:
+        return await handler(request)
+    except web.HTTPException as error:
+        headers = {k: v for k, v in error.headers.items() if k == "Allow"}
+        return web.Response(
+            status=error.status, body=error_body(error.reason), content_type=_JSON,
+            headers=headers,
+        )  # fmt: skip
+    except asyncio.CancelledError:
+        raise
+    except Exception:
+        log.exception("%s %s failed", request.method, request.path)
+        return web.Response(
+            status=503, body=error_body("internal failure"), content_type=_JSON,
+            headers={"Retry-After": "1"},
+        )  # fmt: skip
+
+
+def users_app(
+    desk: JobDesk,
+    on_report: Callable[[Report], Awaitable[tuple[int, bytes]]],
+    healthy: Callable[[], bool],
+    metrics: Callable[[], bytes],
+) -> web.Application:
+    """The application on ``serve_on``."""
+
+    async def submit(request: web.Request) -> web.Response:
+        body = await request.read()
+        if len(body) > MAX_BODY_BYTES:
+            raise web.HTTPRequestEntityTooLarge(MAX_BODY_BYTES, len(body))
+        return _response(await desk.submit(body))
+
+    async def poll(request: web.Request) -> web.Response:
+        return _response(await desk.poll(request.match_info["id"]))
+
+    async def withdraw(request: web.Request) -> web.Response:
+        return _response(await desk.withdraw(request.match_info["id"]))
+
+    async def report(request: web.Request) -> web.Response:
+        try:
+            decoded = _report_decoder.decode(await request.read())
+        except msgspec.DecodeError as error:
+            log.error("worker at %s: malformed report dropped: %s", request.remote, error)
+            return web.Response(status=400, body=error_body(str(error)), content_type=_JSON)
+        status, body = await on_report(decoded)
+        return web.Response(status=status, body=body, content_type=_JSON)
+
+    async def health(_request: web.Request) -> web.Response:
+        if healthy():
+            return web.Response(body=b'{"ok":true}', content_type=_JSON)
+        return web.Response(status=503, body=error_body("not ready"), content_type=_JSON)
+
+    async def show_metrics(_request: web.Request) -> web.Response:
+        return web.Response(body=metrics(), content_type="text/plain")
+
+    # Reports of machines with many tasks may be larger than what users may send.
+    app = web.Application(client_max_size=_MAX_REPORT_BYTES, middlewares=[json_errors])
+    app.router.add_post("/api/jobs", submit)
+    app.router.add_get("/api/jobs/{id}", poll)
+    app.router.add_post("/api/jobs/{id}/withdraw", withdraw)
+    app.router.add_get("/healthz", health)
+    app.router.add_get("/metrics", show_metrics)
+    app.router.add_post("/v1/report", report)
+    return app
--- /dev/null
+++ b/mosswalk/api/jobs.py
@@ -0,0 +1,233 @@
+"""What users are told: each answer only after the state service has it."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+from collections import OrderedDict
+from collections.abc import Mapping
+
+import msgspec
+from msgspec import Raw, Struct
+
+from mosswalk.actors import Clock
+from mosswalk.config import Settings, Team
+from mosswalk.jobs.admission import never_runs
+from mosswalk.jobs.state import Job, new_record, withdraw_change
+from mosswalk.store import records
+from mosswalk.store.client import (
+    ConflictError,
+    RefusedError,
+    StateClient,
+    UnknownOutcomeError,
+)
+from mosswalk.store.mirror import Mirror
+from mosswalk.store.records import FinalRecord, JobRecord
+from mosswalk.store.writer import Change, GroupWriter
+from mosswalk.wire.cloud import MachineType
+from mosswalk.wire.users import (
+    JOB_ID,
+    Failure,
+    InvalidJobError,
+    JobSpec,
+    JobState,
+    decode_job,
+    peek_id,
+)
+
+log = logging.getLogger(__name__)
+
+# Users give up after 5 s on submissions and 2 s on polls; answering later helps nobody.
+_SUBMIT_S = 4.0
+_POLL_S = 1.8
+_MOST_FINAL = 2000
+_TRIES = 6
+_types_decoder = msgspec.json.Decoder(tuple[MachineType, ...])
+
+
+class Reply(Struct, frozen=True):
+    """An answer to a user."""
+
+    status: int
+    body: bytes
+    retry_after_s: int | None = None
+
+
+def _state(status: int, state: JobState) -> Reply:
+    return Reply(status, msgspec.json.encode(state))
+
+
+def _error(status: int, text: str, retry_after_s: int | None = None) -> Reply:
+    return Reply(status, msgspec.json.encode(Failure(text[:300])), retry_after_s)
+
+
+def open_state(record: JobRecord) -> JobState:
+    """The state of a job that is in the mirror."""
+    job_id = record.spec.id
+    if record.phase == "withdrawn":
+        return JobState(job_id, "withdrawn", record.done_count, record.live_count)
+    phase = "running" if record.live_count else "pending"
+    return JobState(job_id, phase, record.done_count, record.live_count)  # type: ignore[arg-type]
+
+
+class JobDesk:
+    """Submissions, polls and withdrawals; holds nothing but a bounded cache of final states."""
+
+    def __init__(
+        self, settings: Settings, client: StateClient, mirror: Mirror, writer: GroupWriter,
+        clock: Clock, rng: random.Random,
+    ) -> None:  # fmt: skip
+        self._client = client
+        self._mirror = mirror
+        self._writer = writer
+        self._clock = clock
+        self._rng = rng
+        self._teams: Mapping[str, Team] = {team.name: team for team in settings.params.teams}
+        self._chunk = records.chunk_size(settings.params.state.value_kb)
+        self._final: OrderedDict[str, FinalRecord] = OrderedDict()
+        self._types: tuple[MachineType, ...] = ()
+        mirror.listen(records.TYPES_KEY, self._types_changed)
+
+    def _types_changed(self, _key: str, value: bytes | None, _version: int) -> None:
+        if value is not None:
+            self._types = _types_decoder.decode(value)
+
+    def _retry_after_s(self) -> int:
+        # Spread out, so that users turned away together do not come back together.
+        return self._rng.randint(1, 3)
+
+    def _busy(self, text: str) -> Reply:
+        return _error(503, text, self._retry_after_s())
+
+    # Reading.
+
+    async def _read(self, job_id: str) -> tuple[JobRecord, int] | FinalRecord | None:
+        """A job's record and version, its final record, or None if nobody submitted it.
+
+        A job moves from its own key to the final one and never back, so asking in this order
+        can't miss it.
+        """
+        final = self._final.get(job_id)
+        if final is not None:
+            return final
+        row = await self._client.get(records.job_key(job_id))
+        if row is not None:
+            return records.decode_job_record(bytes(row.value)), row.version
+        row = await self._client.get(records.final_key(job_id))
+        if row is None:
+            return None
+        final = records.decode_final(bytes(row.value))
+        self._remember(job_id, final)
+        return final
+
+    def _remember(self, job_id: str, final: FinalRecord) -> None:
+        # Only what can't change any more may be answered without asking the state service.
+        self._final[job_id] = final
+        while len(self._final) > _MOST_FINAL:
+            self._final.popitem(last=False)
+
+    @staticmethod
+    def _describe(job_id: str, found: tuple[JobRecord, int] | FinalRecord) -> JobState:
+        if isinstance(found, FinalRecord):
+            return JobState(job_id, found.phase, found.done, 0)
+        return open_state(found[0])
+
+    # What users ask.
+
+    async def poll(self, job_id: str) -> Reply:
+        """GET /api/jobs/{id}."""
+        if not JOB_ID.match(job_id):
+            return _error(404, "no such job")
+        try:
+            found = await asyncio.wait_for(self._read(job_id), _POLL_S)
+        except (RefusedError, UnknownOutcomeError, TimeoutError):
+            return self._busy("state service does not answer")
+        if found is None:
+            return _error(404, "no such job")
+        return _state(200, self._describe(job_id, found))
+
+    async def submit(self, body: bytes) -> Reply:
+        """POST /api/jobs."""
+        try:
+            return await asyncio.wait_for(self._submit(body), _SUBMIT_S)
+        except (RefusedError, UnknownOutcomeError, TimeoutError):
+            return self._busy("state service does not answer")
+
+    async def _submit(self, body: bytes) -> Reply:
+        try:
+            spec = decode_job(body)
+        except InvalidJobError as error:
+            # An accepted job stays known, however a later submission of it looks.
+            job_id = peek_id(body)
+            known = await self._known(job_id) if job_id is not None else None
+            return known or _error(400, str(error))
+        if not self._types:
+            known = await self._known(spec.id)
+            return known or self._busy("machine types not known yet")
+        reason = never_runs(spec, self._types, self._teams)
+        if reason is not None:
+            known = await self._known(spec.id)
+            return known or _error(422, reason)
+        return await self._create(spec)
+
+    async def _known(self, job_id: str) -> Reply | None:
+        found = await self._read(job_id)
+        return _state(200, self._describe(job_id, found)) if found is not None else None
+
+    async def _create(self, spec: JobSpec) -> Reply:
+        if spec.id in self._final:
+            return _state(200, self._describe(spec.id, self._final[spec.id]))
+        key = records.job_key(spec.id)
+        record = new_record(spec, self._clock.wall_us(), self._chunk)
+        value = records.encode(record)
+        change = Change({key: 0, records.final_key(spec.id): 0}, {key: Raw(value)}, impatient=True)
+        for _ in range(_TRIES):
+            try:
+                revision = await self._writer.commit(change)
+            except ConflictError:
+                known = await self._known(spec.id)
+                if known is not None:
+                    return known
+                continue
+            self._mirror.apply_read(key, value, revision)
+            self._mirror.batch_done()
+            log.info("accepted %s: %s of %s, %d tasks", spec.id, spec.kind, spec.team, spec.tasks)
+            return _state(201, JobState(spec.id, "pending"))
+        return self._busy("try again")
+
+    async def withdraw(self, job_id: str) -> Reply:
+        """POST /api/jobs/{id}/withdraw."""
+        if not JOB_ID.match(job_id):
+            return _error(404, "no such job")
+        try:
+            return await asyncio.wait_for(self._withdraw(job_id), _SUBMIT_S)
+        except (RefusedError, UnknownOutcomeError, TimeoutError):
+            return self._busy("state service does not answer")
+
+    async def _withdraw(self, job_id: str) -> Reply:
+        for _ in range(_TRIES):
+            found = await self._read(job_id)
+            if found is None:
+                return _error(404, "no such job")
+            if isinstance(found, FinalRecord):
+                return _state(200, JobState(job_id, found.phase))
+            record, version = found
+            if record.phase == "withdrawn":
+                return _state(200, JobState(job_id, "withdrawn"))
+            change = withdraw_change(Job(record, version))
+            change.impatient = True
+            try:
+                revision = await self._writer.commit(change)
+            except ConflictError:
+                # Its owner wrote meanwhile: look again.
+                continue
+            for key, value in change.puts.items():
+                if key.startswith(records.MIRROR):
+                    self._mirror.apply_read(key, bytes(value), revision)
+            for key in change.deletes:
+                self._mirror.apply_read(key, None, revision)
+            self._mirror.batch_done()
+            log.info("withdrawn %s", job_id)
+            return _state(200, JobState(job_id, "withdrawn"))
+        return self._busy("try again")
--- /dev/null
+++ b/mosswalk/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line."""
--- /dev/null
+++ b/mosswalk/cloud/actor.py
@@ -0,0 +1,169 @@
+"""Carries out the leader's cloud calls within the cloud's rate, and tells it the results."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+from collections.abc import Callable
+
+from msgspec import Struct
+
+from mosswalk.actors import SECOND_US, Clock, to_s
+from mosswalk.cloud.bucket import TokenBucket
+from mosswalk.cloud.client import CloudClient, CloudError, NoCapacityError
+from mosswalk.wire import cloud as wire
+
+log = logging.getLogger(__name__)
+
+_MOST_TRIES = 5
+
+
+class Rented(Struct):
+    """A rental's machines; empty if there were none to be had."""
+
+    group: int
+    pool: tuple[str, str, bool]
+    machines: tuple[str, ...]
+
+
+class Released(Struct):
+    """These machines and everything on them are gone: the cloud has said so."""
+
+    machines: tuple[str, ...]
+
+
+class Listed(Struct):
+    """The machine list, somewhat old."""
+
+    machines: tuple[wire.ListedMachine, ...]
+
+
+class Typed(Struct):
+    """Machine types with current prices."""
+
+    types: tuple[wire.MachineType, ...]
+
+
+CloudNews = Rented | Released | Listed | Typed
+
+
+class CloudCaller:
+    """The only one in this process that talks to the cloud."""
+
+    def __init__(
+        self, client: CloudClient, clock: Clock, rng: random.Random, rps: float,
+        tell: Callable[[CloudNews], None], entitled: Callable[[], bool],
+    ) -> None:  # fmt: skip
+        self._client = client
+        self._clock = clock
+        self._rng = rng
+        # A part of the rate is left for a deposed leader's last calls.
+        self._bucket = TokenBucket(rps * 0.9, max(2.0, rps * 1.5), clock.now_us())
+        self._tell = tell
+        self._entitled = entitled
+        self._releases: set[str] = set()
+        self._release_wake = asyncio.Event()
+        self._failing_since_us: int | None = None
+
+    def calls_left(self) -> int:
+        """How many calls could be made at once; one is kept for releases."""
+        return max(0, int(self._bucket.available(self._clock.now_us())) - 1)
+
+    async def _turn(self) -> None:
+        wait_us = self._bucket.wait_us(self._clock.now_us())
+        if wait_us:
+            await asyncio.sleep(to_s(wait_us))
+
+    def _failed(self, what: str, error: CloudError) -> None:
+        # One line an outage, not one a call.
+        if self._failing_since_us is None:
+            self._failing_since_us = self._clock.now_us()
+            log.info("cloud: %s failed: %s", what, error)
+
+    def _served(self) -> None:
+        if self._failing_since_us is not None:
+            lasted_us = self._clock.now_us() - self._failing_since_us
+            log.info("cloud: serves again after %.1f s", lasted_us / SECOND_US)
+            self._failing_since_us = None
+
+    async def rent(self, group: int, pool: tuple[str, str, bool], count: int) -> None:
+        """Rent machines in a pool. The name is random, so that it is never used again."""
+        name = f"r-{self._rng.getrandbits(64):016x}"
+        request = wire.RentRequest(name, pool[0], pool[1], pool[2], count)
+        machines: tuple[str, ...] = ()
+        for attempt in range(_MOST_TRIES):
+            await self._turn()
+            if not self._entitled():
+                return
+            try:
+                machines = await self._client.rent(request)
+                self._served()
+                break
+            except NoCapacityError:
+                self._served()
+                break
+            except CloudError as error:
+                # Repeated under the same name: if it was carried out, we get its machines.
+                self._failed("rental", error)
+                await asyncio.sleep(min(4.0, 0.5 * 2**attempt) * self._rng.uniform(0.7, 1.3))
+        self._tell(Rented(group, pool, machines))
+
+    def release(self, names: list[str]) -> None:
+        """Return machines; repeated until the cloud confirms it."""
+        self._releases.update(names)
+        self._release_wake.set()
+
+    def forget(self) -> None:
+        """Another controller leads: what is left to return is its business."""
+        self._releases.clear()
+
+    async def run_releases(self) -> None:
+        """Return machines for ever."""
+        while True:
+            await self._release_wake.wait()
+            self._release_wake.clear()
+            pause_s = 0.4
+            while self._releases:
+                batch = tuple(sorted(self._releases)[: wire.MAX_RELEASE])
+                await self._turn()
+                try:
+                    await self._client.release(batch)
+                except CloudError as error:
+                    self._failed("release", error)
+                    await asyncio.sleep(pause_s * self._rng.uniform(0.7, 1.3))
+                    pause_s = min(4.0, pause_s * 1.7)
+                    continue
+                self._served()
+                self._releases.difference_update(batch)
+                self._tell(Released(batch))
+
+    async def refresh_list(self) -> None:
+        """Read the whole machine list."""
+        rows: list[wire.ListedMachine] = []
+        after: str | None = None
+        try:
+            while True:
+                await self._turn()
+                page = await self._client.list_page(after)
+                rows += page.machines
+                if not page.truncated or not page.machines:
+                    break
+                after = page.machines[-1].name
+        except CloudError as error:
+            self._failed("list", error)
+            return
+        self._served()
+        self._tell(Listed(tuple(rows)))
+
+    async def refresh_types(self) -> bool:
+        """Read machine types and prices; whether that worked."""
+        try:
+            await self._turn()
+            types = await self._client.machine_types()
+        except CloudError as error:
+            self._failed("machine types", error)
+            return False
+        self._served()
+        self._tell(Typed(types.types))
+        return True
--- /dev/null
+++ b/mosswalk/config/__init__.py
@@ -0,0 +1,209 @@
+"""Settings: the platform's TOML and, beyond it, the operators' own HCL.
+
+Unknown fields are ignored in both, since new ones may come. Whatever is wrong is told in one
+line that names the file and the field.
+"""
+
+from __future__ import annotations
+
+import os
+import tomllib
+from pathlib import Path
+from typing import Any
+
+import msgspec
+from msgspec import Struct
+
+from mosswalk.config.operator import Tuning, load_tuning
+
+__all__ = ["Settings", "SettingsError", "Tuning", "load"]
+
+# Operators name their file here, or put it beside the platform's with this suffix.
+OPERATOR_FILE_VARIABLE = "MOSSWALK_HCL"
+OPERATOR_SUFFIX = ".hcl"
+
+
+class SettingsError(Exception):
+    """The settings can't be used; the text names the file and the field."""
+
+
+class Peer(Struct, frozen=True):
+    """Another controller."""
+
+    host_name: str
+    zone: str
+    address: str
+
+
+class Outside(Struct, frozen=True):
+    """The addresses of the services mosswalk uses."""
+
+    cloud: str
+    state: str
+
+
+class Team(Struct, frozen=True):
+    """A team's guarantee and limit; a limit of 0 is none."""
+
+    name: str
+    cpus: float = 0.0
+    cpus_max: float = 0.0
+    gpus: float = 0.0
+    gpus_max: float = 0.0
+
+
+class Objective(Struct, frozen=True):
+    """An aim of the users, by job class."""
+
+    kind: str
+    job_class: str | None = msgspec.field(name="class", default=None)
+    within_s: float | None = None
+    share: float | None = None
+
+
+class WorkerLimits(Struct, frozen=True):
+    """How workers report."""
+
+    report_s: float
+    lease_s: float
+    cancel_s: float
+
+
+class StateLimits(Struct, frozen=True):
+    """What the state service takes."""
+
+    rps: float
+    write_rps: float
+    value_kb: float
+    txn_ops: int
+
+
+class CloudLimits(Struct, frozen=True):
+    """What the cloud takes."""
+
+    rps: float
+    list_lag_s: float
+
+
+class MachineLimits(Struct, frozen=True):
+    """What this process may use."""
+
+    core_share: float = 1.0
+    mem_mb: float = 512.0
+    max_connections: int = 1000
+
+
+class Params(Struct, frozen=True):
+    """The deployment's parameters."""
+
+    zones: tuple[str, ...]
+    workers: WorkerLimits
+    state: StateLimits
+    cloud: CloudLimits
+    time_bound_ms: float = 1000.0
+    teams: tuple[Team, ...] = ()
+    objectives: tuple[Objective, ...] = ()
+    machine_limits: MachineLimits = MachineLimits()
+
+
+class Settings(Struct, frozen=True):
+    """Everything the platform hands over, and the operators' tuning."""
+
+    host_name: str
+    zone: str
+    serve_on: str
+    cluster_listen: str
+    outside: Outside
+    params: Params
+    known: tuple[Peer, ...] = ()
+    tuning: Tuning = Tuning()
+
+
+def split_address(text: str) -> tuple[str, int]:
+    """``host:port`` as a pair; ValueError if it isn't one."""
+    host, colon, port = text.rpartition(":")
+    if not colon or not host or not port.isdigit() or not 0 < int(port) < 65536:
+        raise ValueError(f"{text!r} is not host:port")
+    return host, int(port)
+
+
+def _positive(path: Path, where: str, **amounts: float) -> None:
+    for name, amount in amounts.items():
+        if not amount > 0:
+            raise SettingsError(f"{path}: {where}.{name}: must be above 0")
+
+
+def _check(path: Path, settings: Settings) -> None:
+    addresses = {
+        "serve_on": settings.serve_on,
+        "cluster_listen": settings.cluster_listen,
+        "outside.cloud": settings.outside.cloud,
+        "outside.state": settings.outside.state,
+        **{f"known[{i}].address": peer.address for i, peer in enumerate(settings.known)},
+    }
+    for name, text in addresses.items():
+        try:
+            split_address(text)
+        except ValueError as error:
+            raise SettingsError(f"{path}: {name}: {error}") from None
+    params = settings.params
+    workers, state = params.workers, params.state
+    _positive(
+        path, "params.workers",
+        report_s=workers.report_s, lease_s=workers.lease_s, cancel_s=workers.cancel_s,
+    )  # fmt: skip
+    _positive(
+        path, "params.state",
+        rps=state.rps, write_rps=state.write_rps, value_kb=state.value_kb, txn_ops=state.txn_ops,
+    )  # fmt: skip
+    _positive(path, "params.cloud", rps=params.cloud.rps)
+    if state.txn_ops < 2:
+        raise SettingsError(f"{path}: params.state.txn_ops: must be at least 2")
+    if workers.cancel_s <= workers.lease_s:
+        # A withdrawn task in a cut zone can only be relied on to die by its lease.
+        raise SettingsError(f"{path}: params.workers.cancel_s: must be above lease_s")
+    names = [team.name for team in params.teams]
+    if len(set(names)) != len(names):
+        raise SettingsError(f"{path}: params.teams: a name stands twice")
+    hosts = [settings.host_name, *(peer.host_name for peer in settings.known)]
+    if len(set(hosts)) != len(hosts):
+        raise SettingsError(f"{path}: known: a host_name stands twice")
+
+
+def _read(path: Path) -> str:
+    try:
+        return path.read_text(encoding="utf-8")
+    except OSError as error:
+        raise SettingsError(f"{path}: {error.strerror}") from None
+    except UnicodeDecodeError as error:
+        raise SettingsError(f"{path}: not UTF-8: {error.reason}") from None
+
+
+def _operator_path(path: Path) -> Path | None:
+    named = os.environ.get(OPERATOR_FILE_VARIABLE)
+    if named:
+        return Path(named)
+    beside = path.with_suffix(OPERATOR_SUFFIX)
+    return beside if beside.exists() else None
+
+
+def load(path: Path, operator_path: Path | None = None) -> Settings:
+    """Read and check the settings; SettingsError names what is wrong."""
+    try:
+        raw: dict[str, Any] = tomllib.loads(_read(path))
+    except tomllib.TOMLDecodeError as error:
+        raise SettingsError(f"{path}: not TOML: {error}") from None
+    raw.pop("tuning", None)
+    try:
+        settings = msgspec.convert(raw, Settings)
+    except msgspec.ValidationError as error:
+        raise SettingsError(f"{path}: {error}") from None
+    _check(path, settings)
+    operator_path = operator_path or _operator_path(path)
+    if operator_path is not None:
+        try:
+            tuning = load_tuning(_read(operator_path))
+        except ValueError as error:
+            raise SettingsError(f"{operator_path}: {error}") from None
+        settings = msgspec.structs.replace(settings, tuning=tuning)
+    return settings
--- /dev/null
+++ b/mosswalk/config/operator.py
@@ -0,0 +1,119 @@
+"""The operators' own settings, in HCL: what the design leaves open and how teams share.
+
+factory {
+  period_s       = 2
+  load_high      = 1.0
+  weight_of_time = 0.5
+}
+team "vision" { share = 2.0 }
+"""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+from msgspec import Struct
+
+
+class FactoryTuning(Struct, frozen=True):
+    """The open parameters of the VM factory (paper: tau, mu, nu, k, lambda)."""
+
+    period_s: float = 2.0
+    load_high: float = 1.02
+    load_low: float = 0.95
+    high_dwell_s: float = 1.0
+    low_dwell_s: float = 12.0
+    most_rented: int = 6
+    most_returned: int = 2
+    weight_of_time: float = 0.3
+    pool_cap: int = 12
+    idle_keep_s: float = 10.0
+
+
+class FleetTuning(Struct, frozen=True):
+    """When machines are distrusted."""
+
+    silent_reports: float = 3.5
+    errors_to_distrust: int = 2
+    boot_patience: float = 4.0
+
+
+class LeadershipTuning(Struct, frozen=True):
+    """How soon a dead controller is noticed."""
+
+    ttl_s: float = 3.0
+    renew_s: float = 0.8
+
+
+class Tuning(Struct, frozen=True):
+    """Everything an operator may change."""
+
+    factory: FactoryTuning = FactoryTuning()
+    fleet: FleetTuning = FleetTuning()
+    leadership: LeadershipTuning = LeadershipTuning()
+    shares: dict[str, float] = {}
+
+
+def _plain(value: Any) -> Any:
+    """HCL strings arrive with their quotes; blocks carry a marker of their own."""
+    if isinstance(value, str):
+        return value[1:-1] if len(value) > 1 and value[0] == value[-1] == '"' else value
+    if isinstance(value, list):
+        return [_plain(item) for item in value]
+    if isinstance(value, dict):
+        return {_plain(k): _plain(v) for k, v in value.items() if not k.startswith("__")}
+    return value
+
+
+def _single(raw: dict[str, Any], name: str) -> dict[str, Any]:
+    blocks = raw.get(name, [])
+    if not isinstance(blocks, list) or len(blocks) > 1:
+        raise ValueError(f"{name}: must be one block")
+    return blocks[0] if blocks else {}
+
+
+def _check_ranges(tuning: Tuning) -> None:
+    factory = tuning.factory
+    if not 0 <= factory.weight_of_time <= 1:
+        raise ValueError("factory.weight_of_time: must be 0 to 1")
+    if factory.load_low >= factory.load_high:
+        raise ValueError("factory.load_low: must be below load_high")
+    for block_name in ("factory", "fleet", "leadership"):
+        block = getattr(tuning, block_name)
+        for name in block.__struct_fields__:
+            if getattr(block, name) < 0:
+                raise ValueError(f"{block_name}.{name}: must not be negative")
+    if factory.period_s <= 0 or factory.pool_cap < 1:
+        raise ValueError("factory.period_s and factory.pool_cap: must be above 0")
+    if not 0 < tuning.leadership.renew_s < tuning.leadership.ttl_s / 2:
+        raise ValueError("leadership.renew_s: must be above 0 and below half of ttl_s")
+    if tuning.leadership.ttl_s < 0.5:
+        raise ValueError("leadership.ttl_s: must be at least 0.5")
+    for team, share in tuning.shares.items():
+        if share <= 0:
+            raise ValueError(f"team {team}.share: must be above 0")
+
+
+def load_tuning(text: str) -> Tuning:
+    """Parse an operators' file; ValueError names the field."""
+    # Imported here: the parser costs start-up time, and most controllers have no such file.
+    import hcl2
+
+    try:
+        raw = _plain(hcl2.loads(text))
+    except Exception as error:  # the parser's errors share no base class
+        reason = str(error).strip().splitlines()[0] if str(error).strip() else "bad syntax"
+        raise ValueError(f"not HCL: {reason}") from None
+    shares: dict[str, Any] = {}
+    for block in raw.get("team", []):
+        for name, body in block.items():
+            if "share" in body:
+                shares[name] = body["share"]
+    plain = {name: _single(raw, name) for name in ("factory", "fleet", "leadership")}
+    try:
+        tuning = msgspec.convert({**plain, "shares": shares}, Tuning)
+    except msgspec.ValidationError as error:
+        raise ValueError(str(error)) from None
+    _check_ranges(tuning)
+    return tuning
--- /dev/null
+++ b/mosswalk/factory/load.py
@@ -0,0 +1,55 @@
+"""The load ratio and its dwell rule (paper, Algorithm 1)."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from mosswalk.jobs.admission import fits_type
+from mosswalk.jobs.state import Job, milli, milli_room
+from mosswalk.wire.cloud import MachineType
+
+
+def weight(job: Job, machine: MachineType) -> float:
+    """How much of an empty machine one task takes, by its scarcest amount."""
+    parts = [job.cpus / max(1, milli(machine.cpus)), job.memory / max(1, milli(machine.memory_gb))]
+    if job.gpus:
+        parts.append(job.gpus / max(1, milli(machine.gpus)))
+    return max(parts)
+
+
+def per_machine(job: Job, machine: MachineType) -> int:
+    """How many tasks of a job an empty machine holds."""
+    counts = [milli_room(machine.cpus) // job.cpus]
+    if job.memory:
+        counts.append(milli_room(machine.memory_gb) // job.memory)
+    if job.gpus:
+        counts.append(milli_room(machine.gpus) // job.gpus)
+    return min(counts)
+
+
+def fits(job: Job, machine: MachineType) -> bool:
+    """Whether the job's tasks may and can run on a shape."""
+    return fits_type(job.spec, machine)
+
+
+def load_ratio(demand: float, slots: int) -> float:
+    """L: fitting tasks over slots, both in whole machines."""
+    if slots > 0:
+        return demand / slots
+    return float("inf") if demand > 0 else 0.0
+
+
+@dataclass(slots=True)
+class Dwell:
+    """Tells when a ratio has stayed beyond a threshold for long enough."""
+
+    since_us: int | None = None
+
+    def holds(self, beyond: bool, now_us: int, dwell_us: int) -> bool:
+        """Note the ratio's state now; whether it has lasted."""
+        if not beyond:
+            self.since_us = None
+            return False
+        if self.since_us is None:
+            self.since_us = now_us
+        return now_us - self.since_us >= dwell_us
--- /dev/null
+++ b/mosswalk/fleet/orders.py
@@ -0,0 +1,99 @@
+"""What a report means for the records, and what to order in answer: pure decisions."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field
+
+from mosswalk.fleet.book import Machine
+from mosswalk.jobs.board import AttemptKey
+from mosswalk.jobs.state import split_task_name, task_name
+from mosswalk.store.records import Attempt
+from mosswalk.wire.peers import Fate, Outcome
+from mosswalk.wire.workers import Order, Report
+
+_FATES: dict[str, Fate] = {
+    "done": "done",
+    "stopped": "stopped",
+    "error": "error",
+    "full": "refused",
+    "in_use": "refused",
+    "no_such": "refused",
+}
+
+
+@dataclass(slots=True)
+class Judgement:
+    """Orders for the worker, and outcomes for the records."""
+
+    orders: list[Order] = field(default_factory=list)
+    outcomes: list[Outcome] = field(default_factory=list)
+    alive: int = 0
+
+
+def judge(
+    machine: Machine,
+    report: Report,
+    attempts: Mapping[AttemptKey, Attempt],
+    epoch: int,
+    stop_grace: Callable[[str, int, int], float | None],
+    *,
+    may_start: bool,
+    in_answer: bool,
+) -> Judgement:
+    """Compare a report with the records.
+
+    ``stop_grace`` gives the grace with which an attempt is to be stopped, or None if it is to
+    run. ``in_answer`` is false for the answer to /orders: such a report may have been made
+    before the worker carried out our last answer to its own report, so what it does not list
+    may be about to start.
+    """
+    result = Judgement()
+    listed: set[AttemptKey] = set()
+    for task in report.tasks:
+        split = split_task_name(task.task)
+        if split is None:
+            continue
+        key = (*split, task.attempt)
+        listed.add(key)
+        attempt = attempts.get(key)
+        if task.phase == "exited":
+            if attempt is not None:
+                fate = _FATES.get(task.cause or "", "error")
+                result.outcomes.append(Outcome(task.task, task.attempt, machine.name, fate))
+            elif not machine.may_run_late((task.task, task.attempt), epoch):
+                # Reaped only once the record shows the outcome, and only if no start of ours
+                # is still on the way: the worker would know nothing and run it once more.
+                result.orders.append(Order("reap", task.task, task.attempt))
+            continue
+        result.alive += 1
+        if attempt is None:
+            # No record of it: nothing may count on it, and another attempt may be placed.
+            result.orders.append(Order("kill", task.task, task.attempt, 0.0))
+            continue
+        grace = stop_grace(*key)
+        if grace is None:
+            continue
+        if task.phase == "saving" and grace > 0:
+            continue
+        result.orders.append(Order("kill", task.task, task.attempt, grace))
+    for key, attempt in attempts.items():
+        if key in listed:
+            continue
+        name = task_name(key[0], key[1])
+        if attempt.tenure < report.tenure:
+            # The session it was started in is over, and everything in it was killed.
+            result.outcomes.append(Outcome(name, key[2], machine.name, "lost"))
+        elif attempt.tenure == report.tenure:
+            if stop_grace(*key) is None:
+                if may_start:
+                    result.orders.append(Order("run", name, key[2]))
+            elif (
+                in_answer
+                and report.epoch >= epoch
+                and not machine.may_run_late((name, key[2]), epoch)
+            ):
+                # Not there, no order of an earlier epoch can start it any more, ours came in
+                # answers that were carried out or dropped before this report was made.
+                result.outcomes.append(Outcome(name, key[2], machine.name, "lost"))
+    return result
--- /dev/null
+++ b/mosswalk/fleet/steward.py
@@ -0,0 +1,963 @@
+"""The leader's actor: takes reports, sends orders, keeps the machine book, offers room.
+
+Only while this controller leads does it hold anything; whatever must outlive it is in the job
+records, and the rest is learnt again from reports and from the machine list.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+from collections.abc import Awaitable, Iterable
+from dataclasses import dataclass, field
+from typing import Protocol
+
+import aiohttp
+import msgspec
+from msgspec import Raw, Struct
+
+from mosswalk.actors import SECOND_US, Actor, Clock, to_s, to_us
+from mosswalk.cloud.actor import CloudCaller, CloudNews, Listed, Released, Rented, Typed
+from mosswalk.config import Settings
+from mosswalk.factory.loop import Factory, GiveBack, MachineView, Rent, View, WaitingTasks
+from mosswalk.fleet.book import Book, Machine
+from mosswalk.fleet.orders import judge
+from mosswalk.jobs.board import AttemptKey, Board
+from mosswalk.jobs.state import Job, milli, milli_room, split_task_name, task_name
+from mosswalk.leadership.actor import Leadership
+from mosswalk.placement.owner import Owner
+from mosswalk.placement.preemption import Victim, choose_victims
+from mosswalk.placement.queues import TeamQueue, Usage, serve_in_turn, usage_by_team, within
+from mosswalk.placement.rooms import Room, zone_rule
+from mosswalk.store import records
+from mosswalk.store.client import ConflictError, RefusedError, UnknownOutcomeError
+from mosswalk.store.mirror import Mirror
+from mosswalk.store.writer import Change, GroupWriter
+from mosswalk.wire.cloud import MachineType
+from mosswalk.wire.peers import Offer, OfferAnswer, Outcome, Outcomes, SlotOffer, TeamOffer
+from mosswalk.wire.workers import DirectOrders, Order, Redirect, Report, ReportAnswer
+
+log = logging.getLogger(__name__)
+
+_PLAN_GAP_US = 30_000
+_TICK_US = 500_000
+_RESEND_US = 700_000
+_PUSH_GAP_S = 0.004
+_PUSH_TIMEOUT_S = 3.0
+_RESERVED_US = 5 * SECOND_US
+_COOL_US = 500_000
+_LIST_US = 4 * SECOND_US
+_TYPES_US = 60 * SECOND_US
+_PREEMPT_US = 500_000
+_MOST_VICTIMS = 16
+# Grace after taking over, until workers have found their way to us.
+_TAKEOVER_US = 8 * SECOND_US
+# A withdrawn task whose start may still be on the way is ended by a new term after this.
+_LATE_START_US = 5 * SECOND_US
+
+
+class ReportIn(Struct):
+    """A worker's report, with where its answer goes."""
+
+    report: Report
+    answer: asyncio.Future[tuple[int, bytes]]
+
+
+class PushDone(Struct):
+    """What became of orders sent to a worker's own address."""
+
+    machine: str
+    epoch: int
+    tenure: int
+    starts: tuple[tuple[str, int], ...]
+    sent: bool
+    report: Report | None
+
+
+class OfferDone(Struct):
+    """An owner has placed on an offer, or has not been heard of."""
+
+    node: str
+    answer: OfferAnswer | None
+
+
+class Plan(Struct):
+    """Time to look at what waits and what is free."""
+
+
+class Tick(Struct):
+    """Time for what happens on its own."""
+
+
+class TermBegan(Struct):
+    """The term record has changed."""
+
+
+Message = ReportIn | PushDone | OfferDone | Plan | Tick | TermBegan | CloudNews
+
+
+class OwnerLink(Protocol):
+    """How owners elsewhere are spoken to."""
+
+    def offer(self, node: str, message: Offer) -> Awaitable[OfferAnswer]:
+        """Offer room."""
+
+    def outcomes(self, node: str, message: Outcomes) -> Awaitable[None]:
+        """Tell outcomes."""
+
+
+@dataclass(slots=True)
+class _Reservation:
+    """Room offered to an owner and not yet seen in the records."""
+
+    node: str
+    teams: tuple[str, ...]
+    slots: list[SlotOffer]
+    until_us: int
+    # Set once the owner has answered: the room is free again when the mirror has got there.
+    revision: int | None = None
+
+
+@dataclass(slots=True)
+class _Stop:
+    since_us: int
+    grace_s: float
+
+
+@dataclass(slots=True)
+class _Told:
+    outcome: Outcome
+    sent_us: int = 0
+
+
+@dataclass(slots=True)
+class _Push:
+    orders: list[Order] = field(default_factory=list)
+    in_flight: bool = False
+    scheduled: bool = False
+
+
+class Steward(Actor[Message]):
+    """See the module."""
+
+    name = "steward"
+
+    def __init__(
+        self, settings: Settings, mirror: Mirror, board: Board, writer: GroupWriter,
+        leadership: Leadership, owner: Owner, peers: OwnerLink,
+        session: aiohttp.ClientSession, clock: Clock, rng: random.Random,
+    ) -> None:  # fmt: skip
+        super().__init__()
+        self._settings = settings
+        self._mirror = mirror
+        self._board = board
+        self._writer = writer
+        self._leadership = leadership
+        self._owner = owner
+        self._peers = peers
+        self._session = session
+        self._clock = clock
+        self._rng = rng
+        self._teams = {team.name: team for team in settings.params.teams}
+        self._shares = {
+            name: settings.tuning.shares.get(name) or max(1.0, team.cpus)
+            for name, team in self._teams.items()
+        }
+        workers = settings.params.workers
+        self._silent_us = to_us(settings.tuning.fleet.silent_reports * workers.report_s)
+        self._lease_us = to_us(workers.lease_s)
+        self._errors_to_distrust = settings.tuning.fleet.errors_to_distrust
+        self._boot_patience = settings.tuning.fleet.boot_patience
+        self._period_us = to_us(settings.tuning.factory.period_s)
+        self._list_lag_us = to_us(settings.params.cloud.list_lag_s)
+        self.book = Book()
+        self._factory = Factory(settings.tuning.factory)
+        self.cloud: CloudCaller | None = None
+        self._leading = False
+        self._since_us = 0
+        self._listed = False
+        self._asked_list_us = 0
+        self._asked_types_us = 0
+        self._factory_us = 0
+        self._preempt_us = 0
+        self._plan_scheduled = False
+        self._reservations: list[_Reservation] = []
+        self._cool: dict[str, int] = {}
+        self._told: dict[tuple[str, int], _Told] = {}
+        self._stops: dict[AttemptKey, _Stop] = {}
+        self._pushes: dict[str, _Push] = {}
+        self._late_starts: dict[AttemptKey, int] = {}
+        self._failed_on: dict[str, set[str]] = {}
+        self._stuck: list[Job] = []
+        board.on_attempt.append(self._attempt_appeared)
+        mirror.after_batch(self._poke)
+        leadership.on_term.append(lambda: self.tell(TermBegan()))
+        owner.zone_of = self.book.zone_of
+
+    # Messages.
+
+    async def receive(self, message: Message) -> None:
+        """Handle one message."""
+        match message:
+            case ReportIn():
+                self._report_in(message)
+            case PushDone():
+                self._push_done(message)
+            case OfferDone():
+                self._offer_done(message)
+            case Plan():
+                self._plan_scheduled = False
+                if self._leading:
+                    self._plan()
+            case Tick():
+                self._check_lead()
+                if self._leading:
+                    self._tick()
+            case TermBegan():
+                self._check_lead()
+            case Listed() if self._leading:
+                self._list_came(message)
+            case Released() if self._leading:
+                self._released(message.machines)
+            case Rented() if self._leading:
+                self._rented(message)
+            case Typed() if self._leading:
+                self._typed(message.types)
+            case _:
+                pass
+
+    async def ticker(self) -> None:
+        """Tick for ever."""
+        while True:
+            await asyncio.sleep(to_s(_TICK_US))
+            self.tell(Tick())
+
+    async def report(self, report: Report) -> tuple[int, bytes]:
+        """Answer a report: the status and the body."""
+        future: asyncio.Future[tuple[int, bytes]] = asyncio.get_running_loop().create_future()
+        self.tell(ReportIn(report, future))
+        return await future
+
+    def _poke(self) -> None:
+        if self._leading and not self._plan_scheduled:
+            self._plan_scheduled = True
+            asyncio.get_running_loop().call_later(to_s(_PLAN_GAP_US), self.tell, Plan())
+
+    def _check_lead(self) -> None:
+        leads = self._leadership.leads()
+        if leads and not self._leading:
+            log.info("leading in term %d", self._leadership.epoch())
+            self._leading = True
+            self._since_us = self._clock.now_us()
+            self._listed = False
+            self._asked_list_us = self._asked_types_us = 0
+            for machine in list(self._board.by_machine):
+                self._rumour(machine)
+            for attempts in self._board.by_machine.values():
+                for key in attempts:
+                    self._stops.pop(key, None)
+            self.spawn(self._clear_orphans())
+            self._tick()
+        elif not leads and self._leading:
+            log.info("leading no more")
+            self._leading = False
+            self.book.reset()
+            self._factory = Factory(self._settings.tuning.factory)
+            self._reservations.clear()
+            self._told.clear()
+            self._stops.clear()
+            self._pushes.clear()
+            self._late_starts.clear()
+            self._stuck = []
+            if self.cloud is not None:
+                self.cloud.forget()
+
+    # Reports and orders.
+
+    def _refusal(self) -> tuple[int, bytes]:
+        leader = self._leadership.leader()
+        if leader is not None and leader != self._leadership.node:
+            return 421, msgspec.json.encode(Redirect(leader))
+        return 503, b'{"error":"not entitled to answer"}'
+
+    def _report_in(self, message: ReportIn) -> None:
+        if message.answer.done():
+            return
+        report = message.report
+        self._check_lead()
+        self._leadership.outbid(report.epoch)
+        if not self._leading or not self._leadership.may_answer():
+            message.answer.set_result(self._refusal())
+            return
+        orders = self._take_report(report, in_answer=True)
+        body = msgspec.json.encode(ReportAnswer(self._leadership.epoch(), tuple(orders)))
+        message.answer.set_result((200, body))
+
+    def _take_report(self, report: Report, *, in_answer: bool) -> list[Order]:
+        now_us = self._clock.now_us()
+        if self.book.gone(report.machine):
+            return []
+        machine = self.book.machines.get(report.machine)
+        if machine is None:
+            log.info("machine %s (%s, %s) reports unexpected", report.machine, report.type,
+                     report.zone)  # fmt: skip
+            machine = self._adopt(report.machine, report.type, report.zone, report.spot, "booting")
+        if not machine.newer(report):
+            # A late report: what it lists is as old as it is.
+            return []
+        if machine.phase != "up":
+            self._came_up(machine, report)
+        if machine.rumoured:
+            machine.rumoured = False
+            machine.type, machine.zone, machine.spot = report.type, report.zone, report.spot
+        machine.address = report.address
+        machine.seen_us = now_us
+        machine.reported = True
+        machine.tenure, machine.tick = report.tenure, report.tick
+        machine.epoch = max(machine.epoch, report.epoch)
+        had_notice = machine.notice_until_us is not None
+        machine.notice_until_us = (
+            now_us + to_us(report.notice_s) if report.notice_s is not None else None
+        )
+        if machine.notice_until_us is not None and not had_notice:
+            log.info("machine %s: notice of %.1f s", machine.name, report.notice_s)
+        self._learn(machine, report)
+        machine.tasks = {(t.task, t.attempt): t for t in report.tasks}
+        judgement = judge(
+            machine, report, self._board.attempts_on(machine.name), self._leadership.epoch(),
+            lambda job_id, index, number: self._stop_grace(machine, (job_id, index, number)),
+            may_start=self._leadership.may_start(), in_answer=in_answer,
+        )  # fmt: skip
+        for outcome in judgement.outcomes:
+            self._told.setdefault((outcome.task, outcome.attempt), _Told(outcome)).outcome = outcome
+        if judgement.outcomes:
+            self._tell_outcomes()
+        for order in judgement.orders:
+            log.debug("order to %s: %s", machine.name, order)
+        self._poke()
+        return judgement.orders
+
+    def _came_up(self, machine: Machine, report: Report) -> None:
+        now_us = self._clock.now_us()
+        took_us = now_us - machine.rented_us
+        log.info("machine %s (%s, %s) is up after %.1f s", machine.name, report.type,
+                 report.zone, took_us / SECOND_US)  # fmt: skip
+        machine.phase = "up"
+        machine.since_us = now_us
+        machine.idle_since_us = now_us
+        pool = (machine.type, machine.zone, machine.spot)
+        if machine.group is not None:
+            self._factory.booted(pool, took_us)
+            for back in self._factory.group_booted(machine.group, pool, self._view([])):
+                self._give_back(back)
+            machine.group = None
+
+    def _learn(self, machine: Machine, report: Report) -> None:
+        """What new exits tell of the machine, and running tasks of its cached images."""
+        shape = self.book.types.get(machine.type)
+        for task in report.tasks:
+            before = machine.tasks.get((task.task, task.attempt))
+            if before is not None and before.phase == task.phase:
+                continue
+            split = split_task_name(task.task)
+            job = self._board.jobs.get(split[0]) if split is not None else None
+            if task.phase == "running" and job is not None and shape is not None:
+                machine.used_image(job.spec.image, job.spec.image_gb, shape.cache_gb)
+            if task.phase != "exited" or split is None:
+                continue
+            if task.cause == "done":
+                machine.errors = 0
+            elif task.cause == "error":
+                failed_on = self._failed_on.setdefault(split[0], set())
+                failed_on.add(machine.name)
+                # A job that fails wherever it goes says nothing of the machine.
+                if len(failed_on) <= 2:
+                    machine.errors += 1
+                    log.info("machine %s: %s failed, %d errors", machine.name, task.task,
+                             machine.errors)  # fmt: skip
+        if machine.errors >= self._errors_to_distrust and not machine.distrusted:
+            machine.distrusted = True
+            self._release(machine, "fails its tasks")
+
+    def _stop_grace(self, machine: Machine, key: AttemptKey) -> float | None:
+        job = self._board.jobs.get(key[0])
+        if job is None or not job.open:
+            return 0.0
+        stop = self._stops.get(key)
+        if stop is not None:
+            overdue_us = to_us(stop.grace_s * 1.5 + 5.0)
+            return 0.0 if self._clock.now_us() - stop.since_us > overdue_us else stop.grace_s
+        if machine.notice_until_us is not None and job.spec.checkpoint_s > 0:
+            # The machine is about to be taken: save what can be saved.
+            return job.spec.save_s
+        return None
+
+    def _attempt_appeared(self, name: str, job: Job, attempt: records.Attempt) -> None:
+        """A placing is committed: start it without waiting for the machine's next report."""
+        if not self._leading or not self._leadership.may_start():
+            return
+        machine = self.book.machines.get(name)
+        if machine is None or machine.tenure != attempt.tenure or machine.releasing:
+            return
+        self._push(machine, Order("run", task_name(job.id, attempt.task), attempt.number))
+
+    def _push(self, machine: Machine, order: Order) -> None:
+        push = self._pushes.setdefault(machine.name, _Push())
+        push.orders.append(order)
+        self._schedule_push(machine.name, push)
+
+    def _schedule_push(self, name: str, push: _Push) -> None:
+        if push.orders and not push.in_flight and not push.scheduled:
+            push.scheduled = True
+            asyncio.get_running_loop().call_later(_PUSH_GAP_S, self._send_push, name)
+
+    def _send_push(self, name: str) -> None:
+        push = self._pushes.get(name)
+        machine = self.book.machines.get(name)
+        if push is None:
+            return
+        push.scheduled = False
+        orders, push.orders = push.orders, []
+        if (
+            machine is None or machine.address is None or machine.releasing
+            or not self._leading or not self._leadership.may_start()
+        ):  # fmt: skip
+            return
+        attempts = self._board.attempts_on(name)
+        kept: list[Order] = []
+        for order in orders:
+            split = split_task_name(order.task)
+            key = (*split, order.attempt) if split is not None else None
+            # The job may have been withdrawn, or the attempt settled, since it was queued.
+            if order.op == "run" and (
+                key not in attempts
+                or attempts[key].tenure != machine.tenure
+                or self._stop_grace(machine, key) is not None
+            ):
+                continue
+            kept.append(order)
+        if not kept:
+            return
+        push.in_flight = True
+        starts = tuple((o.task, o.attempt) for o in kept if o.op == "run")
+        epoch = self._leadership.epoch()
+        for start in starts:
+            # Until it is answered it may be carried out at any later time.
+            machine.unanswered[start] = (epoch, machine.tenure)
+        message = DirectOrders(epoch, machine.tenure, tuple(kept))
+        self.spawn(self._post_orders(machine.name, machine.address, message, starts))
+
+    async def _post_orders(
+        self, name: str, address: str, message: DirectOrders, starts: tuple[tuple[str, int], ...]
+    ) -> None:
+        report: Report | None = None
+        sent = True
+        try:
+            async with self._session.post(
+                f"http://{address}/orders", data=msgspec.json.encode(message),
+                timeout=aiohttp.ClientTimeout(total=_PUSH_TIMEOUT_S, sock_connect=1.5),
+            ) as response:  # fmt: skip
+                body = await response.read()
+                if response.status in (200, 409):
+                    report = msgspec.json.decode(body, type=Report)
+                else:
+                    log.error("worker %s: /orders answered %d", name, response.status)
+        except aiohttp.ClientConnectorError:
+            # A connection attempt that was given up does not complete afterwards.
+            sent = False
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            log.debug("orders to %s: no answer: %r", name, error)
+        except msgspec.DecodeError as error:
+            log.error("worker %s: malformed answer to /orders dropped: %s", name, error)
+        self.tell(PushDone(name, message.epoch, message.tenure, starts, sent, report))
+
+    def _push_done(self, message: PushDone) -> None:
+        push = self._pushes.get(message.machine)
+        if push is not None:
+            push.in_flight = False
+            self._schedule_push(message.machine, push)
+        machine = self.book.machines.get(message.machine)
+        if machine is None:
+            return
+        if not message.sent or message.report is not None:
+            for start in message.starts:
+                if machine.unanswered.get(start) == (message.epoch, message.tenure):
+                    del machine.unanswered[start]
+        if message.report is not None:
+            self._leadership.outbid(message.report.epoch)
+            self._check_lead()
+            if self._leading:
+                self._take_report(message.report, in_answer=False)
+
+    # Outcomes to the owners.
+
+    def _tell_outcomes(self) -> None:
+        term = self._leadership.term
+        if term is None:
+            return
+        now_us = self._clock.now_us()
+        by_node: dict[str, list[Outcome]] = {}
+        for key, told in list(self._told.items()):
+            split = split_task_name(told.outcome.task)
+            job = self._board.jobs.get(split[0]) if split is not None else None
+            if split is None or job is None or job.find(split[1], key[1]) is None:
+                # The record shows it: the worker's next report gets its reap.
+                del self._told[key]
+                continue
+            if now_us - told.sent_us < _RESEND_US:
+                continue
+            told.sent_us = now_us
+            node = term.owners.get(job.spec.team)
+            if node is not None:
+                by_node.setdefault(node, []).append(told.outcome)
+        for node, outcomes in by_node.items():
+            message = Outcomes(term.term, tuple(outcomes))
+            if node == self._leadership.node:
+                self._owner.outcomes(message)
+            else:
+                self.spawn(self._send_outcomes(node, message))
+
+    async def _send_outcomes(self, node: str, message: Outcomes) -> None:
+        try:
+            await self._peers.outcomes(node, message)
+        except Exception as error:
+            # Told again until the records show them.
+            log.debug("outcomes to %s: %s", node, error)
+
+    # Room and offers.
+
+    def _room(self, machine: Machine) -> Room | None:
+        shape = self.book.types.get(machine.type)
+        if (
+            shape is None
+            or machine.phase != "up"
+            or machine.rumoured
+            or not machine.reported
+            or machine.releasing is not None
+            or machine.distrusted
+            or machine.notice_until_us is not None
+            or self._clock.now_us() - machine.seen_us > self._silent_us
+        ):
+            return None
+        room = Room(
+            machine.name, machine.type, machine.zone, machine.spot, machine.tenure,
+            milli_room(shape.cpus), milli_room(shape.gpus), milli_room(shape.memory_gb),
+            frozenset(machine.images), shape.spot_price if machine.spot else shape.price,
+        )  # fmt: skip
+        attempts = self._board.attempts_on(machine.name)
+        for key in attempts:
+            job = self._board.jobs.get(key[0])
+            if job is not None:
+                room.take(job)
+        for reservation in self._reservations:
+            for slot in reservation.slots:
+                if slot.machine == machine.name:
+                    room.cpus -= slot.cpus
+                    room.gpus -= slot.gpus
+                    room.memory -= slot.memory
+        return room
+
+    def _drop_reservations(self) -> None:
+        now_us = self._clock.now_us()
+        self._reservations = [
+            r
+            for r in self._reservations
+            if (r.revision is None and now_us < r.until_us)
+            or (
+                r.revision is not None
+                and r.node != self._leadership.node
+                and self._mirror.revision < r.revision
+            )
+        ]
+
+    def _plan(self) -> None:
+        """Offer free room to the teams in turn."""
+        term = self._leadership.term
+        if term is None or not self._leadership.may_start():
+            return
+        now_us = self._clock.now_us()
+        self._drop_reservations()
+        busy = {r.node for r in self._reservations}
+        rooms = [r for m in self.book.machines.values() if (r := self._room(m)) is not None]
+        for machine in self.book.machines.values():
+            idle = not self._board.attempts_on(machine.name) and not any(
+                t.phase != "exited" for t in machine.tasks.values()
+            )
+            if machine.phase != "up" or not idle:
+                machine.idle_since_us = None
+            elif machine.idle_since_us is None:
+                machine.idle_since_us = now_us
+        usage = usage_by_team(self._board.jobs.values())
+        zones = self.book.zone_of()
+        jobs: dict[str, list[Job]] = {}
+        for job in self._board.jobs.values():
+            jobs.setdefault(job.spec.team, []).append(job)
+        queues = [
+            TeamQueue(team, jobs.get(name, ()), usage.get(name) or Usage(), zones,
+                      self._failed_on, {})
+            for name, team in self._teams.items()
+            if term.owners.get(name) not in busy and self._cool.get(name, 0) <= now_us
+        ]  # fmt: skip
+        slots: dict[tuple[str, str], SlotOffer] = {}
+        for placing in serve_in_turn(queues, rooms, self._shares):
+            team, room, job = placing.job.spec.team, placing.room, placing.job
+            key = (team, room.machine)
+            before = slots.get(key)
+            slots[key] = SlotOffer(
+                room.machine, room.type, room.zone, room.spot, room.tenure,
+                job.cpus + (before.cpus if before else 0),
+                job.gpus + (before.gpus if before else 0),
+                job.memory + (before.memory if before else 0),
+                tuple(room.images), room.price,
+            )  # fmt: skip
+        self._stuck = [job for queue in queues for job in queue.stuck]
+        by_node: dict[str, dict[str, list[SlotOffer]]] = {}
+        for (team, _), slot in slots.items():
+            node = term.owners.get(team)
+            if node is not None:
+                by_node.setdefault(node, {}).setdefault(team, []).append(slot)
+        for node, teams in by_node.items():
+            offer = Offer(term.term, tuple(TeamOffer(t, tuple(s)) for t, s in teams.items()))
+            flat = [slot for group in teams.values() for slot in group]
+            self._reservations.append(_Reservation(node, tuple(teams), flat, now_us + _RESERVED_US))
+            self.spawn(self._send_offer(node, offer))
+
+    async def _send_offer(self, node: str, offer: Offer) -> None:
+        answer: OfferAnswer | None = None
+        try:
+            if node == self._leadership.node:
+                answer = await self._owner.offer(offer)
+            else:
+                answer = await self._peers.offer(node, offer)
+        except Exception as error:
+            log.debug("offer to %s: %s", node, error)
+        self.tell(OfferDone(node, answer))
+
+    def _offer_done(self, message: OfferDone) -> None:
+        now_us = self._clock.now_us()
+        for reservation in self._reservations:
+            if reservation.node == message.node and reservation.revision is None:
+                if message.answer is None:
+                    # The owner may still be placing on it: keep the room until it runs out.
+                    continue
+                reservation.revision = message.answer.revision
+                if message.answer.placed == 0:
+                    for team in reservation.teams:
+                        self._cool[team] = now_us + _COOL_US
+        self._poke()
+
+    # Periodic work.
+
+    def _tick(self) -> None:
+        now_us = self._clock.now_us()
+        if self.cloud is None or not self._leadership.may_answer():
+            return
+        if not self.book.types or now_us - self._asked_types_us > _TYPES_US:
+            if now_us - self._asked_types_us > 2 * SECOND_US:
+                self._asked_types_us = now_us
+                self.spawn(self.cloud.refresh_types())
+        elif now_us - self._asked_list_us > _LIST_US:
+            self._asked_list_us = now_us
+            self.spawn(self.cloud.refresh_list())
+        for machine in list(self._board.by_machine):
+            if machine not in self.book.machines:
+                self._rumour(machine)
+        self._suspect()
+        self._tell_outcomes()
+        self._watch_late_starts()
+        for key in [k for k in self._stops if not self._board.is_live(k)]:
+            del self._stops[key]
+        for job_id in [j for j in self._failed_on if j not in self._board.jobs]:
+            del self._failed_on[job_id]
+        if now_us - self._preempt_us > _PREEMPT_US:
+            self._preempt_us = now_us
+            self._preempt()
+        if now_us - self._factory_us >= self._period_us and self._ready_to_rent():
+            self._factory_us = now_us
+            self._run_factory()
+        self._poke()
+
+    def _ready_to_rent(self) -> bool:
+        """Whether the book can be believed: else machines we don't know of are rented again."""
+        if not self._listed or not self._leadership.may_start():
+            return False
+        if self._leadership.epoch() <= 1:
+            return True
+        return self._clock.now_us() - self._since_us > max(4 * SECOND_US, self._list_lag_us)
+
+    def _rumour(self, name: str) -> None:
+        """A record names a machine that nothing else has told of."""
+        if self.book.gone(name) or name in self.book.machines:
+            return
+        machine = self._adopt(name, "", "", False, "up")
+        machine.rumoured = True
+
+    def _adopt(self, name: str, kind: str, zone: str, spot: bool, phase: str) -> Machine:
+        now_us = self._clock.now_us()
+        machine = Machine(
+            name, kind, zone, spot, "up" if phase == "up" else "booting", now_us, now_us
+        )
+        machine.seen_us = now_us
+        self.book.machines[name] = machine
+        return machine
+
+    def _suspect(self) -> None:
+        """Release machines that say nothing: the cloud's answer is the proof they are gone."""
+        now_us = self._clock.now_us()
+        if now_us - self._since_us < _TAKEOVER_US:
+            return
+        up = [m for m in self.book.machines.values() if m.phase == "up" and not m.releasing]
+        silent = [m for m in up if now_us - max(m.seen_us, self._since_us) > self._silent_us]
+        # Many silent at once is more likely a cut, or our own trouble, than many dead ones:
+        # their tasks may be well, so wait until their leases have run out anyway.
+        many = len(silent) >= 3 and len(silent) * 2 > len(up)
+        for machine in silent:
+            silence_us = now_us - machine.seen_us
+            if many and silence_us < self._lease_us + self._silent_us:
+                continue
+            self._release(machine, f"silent for {silence_us / SECOND_US:.1f} s")
+        for machine in list(self.book.machines.values()):
+            shape = self.book.types.get(machine.type)
+            if machine.phase == "up" or machine.releasing or shape is None:
+                continue
+            if now_us - machine.rented_us > self._boot_patience * to_us(shape.boot_s):
+                self._release(machine, "never came up")
+
+    def _watch_late_starts(self) -> None:
+        """End starts on the way for withdrawn jobs, by a new term that outdates them."""
+        now_us = self._clock.now_us()
+        epoch = self._leadership.epoch()
+        late: dict[AttemptKey, int] = {}
+        for machine in self.book.machines.values():
+            if not machine.unanswered:
+                continue
+            for key in self._board.attempts_on(machine.name):
+                start = (task_name(key[0], key[1]), key[2])
+                job = self._board.jobs.get(key[0])
+                withdrawn = job is not None and not job.open
+                if withdrawn and machine.may_run_late(start, epoch) and start not in machine.tasks:
+                    late[key] = self._late_starts.get(key, now_us)
+            machine.unanswered = {
+                k: v
+                for k, v in machine.unanswered.items()
+                if v[0] >= epoch and v[1] == machine.tenure
+            }
+        self._late_starts = late
+        if any(now_us - since_us > _LATE_START_US for since_us in late.values()):
+            log.info("new term wanted: a withdrawn task's start is still on the way")
+            self._late_starts = {}
+            self._leadership.want_new_term()
+
+    # The cloud.
+
+    def _list_came(self, message: Listed) -> None:
+        now_us = self._clock.now_us()
+        self._listed = True
+        for row in message.machines:
+            if self.book.gone(row.name):
+                continue
+            machine = self.book.machines.get(row.name)
+            if row.phase == "failed":
+                if machine is None:
+                    machine = self._adopt(row.name, row.type, row.zone, row.spot, "booting")
+                self._release(machine, "failed")
+                continue
+            if machine is None:
+                machine = self._adopt(row.name, row.type, row.zone, row.spot, "booting")
+                machine.rented_us = now_us - to_us(row.held_s)
+                log.info("machine %s (%s, %s) listed, not known: taken over", row.name,
+                         row.type, row.zone)  # fmt: skip
+            elif machine.rumoured:
+                machine.rumoured = False
+                machine.type, machine.zone, machine.spot = row.type, row.zone, row.spot
+            if machine.phase == "requested":
+                machine.phase = "booting"
+                machine.since_us = now_us
+            if machine.address is None:
+                machine.address = row.address
+
+    def _release(self, machine: Machine, why: str) -> None:
+        if machine.releasing is None:
+            log.info("releasing %s (%s, %s): %s", machine.name, machine.type, machine.zone, why)
+            machine.releasing = why
+            if self.cloud is not None:
+                self.cloud.release([machine.name])
+
+    def _give_back(self, back: GiveBack) -> None:
+        machine = self.book.machines.get(back.machine)
+        if machine is None:
+            return
+        if self._board.attempts_on(machine.name) or any(
+            slot.machine == machine.name for r in self._reservations for slot in r.slots
+        ):
+            return
+        self._release(machine, back.why)
+
+    def _released(self, names: Iterable[str]) -> None:
+        for name in names:
+            for key in self._board.attempts_on(name):
+                outcome = Outcome(task_name(key[0], key[1]), key[2], name, "lost")
+                self._told[(outcome.task, outcome.attempt)] = _Told(outcome)
+            self.book.remove(name)
+            self._pushes.pop(name, None)
+        self._tell_outcomes()
+        self._poke()
+
+    def _rented(self, message: Rented) -> None:
+        now_us = self._clock.now_us()
+        if not message.machines:
+            log.info("pool %s: none to be had", "/".join(map(str, message.pool)))
+            self._factory.refused(message.pool, now_us)
+            self._factory.group_short(message.group, message.pool)
+            return
+        self._factory.granted(message.pool, now_us)
+        for name in message.machines:
+            log.info("rented %s in %s (group %d)", name, "/".join(map(str, message.pool)),
+                     message.group)  # fmt: skip
+            machine = self.book.machines.get(name)
+            if machine is None and not self.book.gone(name):
+                kind, zone, spot = message.pool
+                machine = Machine(name, kind, zone, spot, "requested", now_us, now_us)
+                machine.group = message.group
+                self.book.machines[name] = machine
+
+    def _typed(self, types: tuple[MachineType, ...]) -> None:
+        self.book.types = {t.name: t for t in types}
+        # Others judge submissions by what is written here; prices move and do not matter there.
+        plain = [msgspec.structs.replace(t, price=0.0, spot_price=0.0) for t in types]
+        value = records.encode(plain)
+        if self._mirror.value(records.TYPES_KEY) != value:
+            version = self._mirror.version(records.TYPES_KEY)
+            self.spawn(self._write_types(Raw(value), version))
+        self._poke()
+
+    async def _write_types(self, value: Raw, version: int) -> None:
+        guards = {
+            records.TYPES_KEY: version,
+            records.TERM_KEY: self._leadership.term_version,
+        }
+        try:
+            await self._writer.commit(Change(guards, {records.TYPES_KEY: value}))
+        except (ConflictError, RefusedError, UnknownOutcomeError) as error:
+            log.info("machine types not written: %s", error)
+            self._asked_types_us = 0
+
+    async def _clear_orphans(self) -> None:
+        """Remove chunks of jobs that are over; their removal is not part of the job's end."""
+        keys = self._board.orphans()
+        ops = self._settings.params.state.txn_ops
+        for start in range(0, len(keys), ops):
+            guards = {records.TERM_KEY: self._leadership.term_version}
+            try:
+                await self._writer.commit(Change(guards, {}, tuple(keys[start : start + ops])))
+            except (ConflictError, RefusedError, UnknownOutcomeError) as error:
+                log.info("orphans not removed: %s", error)
+                return
+
+    # Preemption and the factory.
+
+    def _waiting(self) -> list[WaitingTasks]:
+        """Tasks that found no room, as far as their team's limit lets them run."""
+        zones = self.book.zone_of()
+        usage = usage_by_team(self._board.jobs.values())
+        waiting: list[WaitingTasks] = []
+        for job in self._stuck:
+            job = self._board.jobs.get(job.id, job)
+            team = self._teams.get(job.spec.team)
+            rule = zone_rule(job, zones)
+            if team is None or rule is None or not job.open:
+                continue
+            own = usage.setdefault(team.name, Usage())
+            count = 0
+            for _ in range(min(job.pending_count(), 2000)):
+                if not within(team, own, job, limit=True):
+                    break
+                own.add(job)
+                count += 1
+            if count:
+                waiting.append(WaitingTasks(job, count, rule))
+        return waiting
+
+    def _preempt(self) -> None:
+        """Stop less urgent attempts for tasks that found no room."""
+        urgent = [w for w in self._waiting() if w.job.rank < 3]
+        if not urgent or not self._leadership.may_start():
+            return
+        usage = usage_by_team(self._board.jobs.values())
+        rooms: list[Room] = []
+        running: dict[str, list[Victim]] = {}
+        for machine in self.book.machines.values():
+            room = self._room(machine)
+            if room is None:
+                continue
+            rooms.append(room)
+            for key, attempt in self._board.attempts_on(machine.name).items():
+                job = self._board.jobs.get(key[0])
+                if job is None:
+                    continue
+                if key in self._stops or not job.open:
+                    room.take(job, -1)
+                else:
+                    running.setdefault(machine.name, []).append(Victim(job, attempt))
+        # Machines that are about to boot will take some of them without a victim.
+        stuck = [
+            (w.job, w.count)
+            for w in urgent
+            if w.job.rank == 0
+            or within(self._teams[w.job.spec.team],
+                      usage.get(w.job.spec.team) or Usage(), w.job, limit=False)
+        ]  # fmt: skip
+        victims = choose_victims(
+            stuck, rooms, running, self._teams, usage, self.book.zone_of(), _MOST_VICTIMS
+        )
+        now_us = self._clock.now_us()
+        for victim in victims:
+            spec = victim.job.spec
+            grace_s = spec.save_s if spec.checkpoint_s > 0 else 0.0
+            key = (victim.job.id, victim.attempt.task, victim.attempt.number)
+            self._stops[key] = _Stop(now_us, grace_s)
+            log.info("stopping %s/%d attempt %d on %s for more urgent work",
+                     *key, victim.attempt.machine)  # fmt: skip
+            there = self.book.machines.get(victim.attempt.machine)
+            if there is not None:
+                order = Order("kill", task_name(key[0], key[1]), key[2], grace_s)
+                self._push(there, order)
+
+    def _view(self, waiting: list[WaitingTasks]) -> View:
+        machines: list[MachineView] = []
+        for machine in self.book.machines.values():
+            if machine.releasing or machine.rumoured:
+                continue
+            shape = self.book.types.get(machine.type)
+            load = 0.0
+            if shape is not None:
+                cpus = memory = 0
+                for key in self._board.attempts_on(machine.name):
+                    job = self._board.jobs.get(key[0])
+                    if job is not None:
+                        cpus += job.cpus
+                        memory += job.memory
+                load = max(
+                    cpus / max(1, milli(shape.cpus)), memory / max(1, milli(shape.memory_gb))
+                )
+            machines.append(
+                MachineView(
+                    machine.name, (machine.type, machine.zone, machine.spot), machine.phase,
+                    machine.since_us, machine.rented_us, machine.notice_until_us is None,
+                    machine.idle_since_us, load,
+                )
+            )  # fmt: skip
+        calls = self.cloud.calls_left() if self.cloud is not None else 0
+        return View(self._clock.now_us(), self.book.types, machines, waiting, calls)
+
+    def _run_factory(self) -> None:
+        for decision in self._factory.decide(self._view(self._waiting())):
+            if isinstance(decision, Rent):
+                log.info("renting, group %d: %s", decision.group,
+                         ", ".join("/".join(map(str, p)) for p in decision.pools))  # fmt: skip
+                for pool in decision.pools:
+                    if self.cloud is not None:
+                        self.spawn(self.cloud.rent(decision.group, pool, 1))
+            else:
+                self._give_back(decision)
--- /dev/null
+++ b/mosswalk/jobs/admission.py
@@ -0,0 +1,40 @@
+"""Whether a job could ever run: the 422 of the users' protocol."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+
+from mosswalk.config import Team
+from mosswalk.jobs.state import milli, milli_room
+from mosswalk.wire.cloud import MachineType
+from mosswalk.wire.users import JobSpec
+
+
+def fits_type(spec: JobSpec, machine: MachineType) -> bool:
+    """Whether one task fits an empty machine of this type, where the job allows it."""
+    if spec.types is not None and machine.name not in spec.types:
+        return False
+    if spec.zone is not None and spec.zone not in machine.zones:
+        return False
+    return (
+        milli(spec.cpus) <= milli_room(machine.cpus)
+        and milli(spec.gpus) <= milli_room(machine.gpus)
+        and milli(spec.memory_gb) <= milli_room(machine.memory_gb)
+    )
+
+
+def never_runs(
+    spec: JobSpec, types: tuple[MachineType, ...], teams: Mapping[str, Team]
+) -> str | None:
+    """Why the job can never run, or None."""
+    team = teams.get(spec.team)
+    if team is None:
+        return f"owner: no team {spec.team}"
+    if not any(fits_type(spec, machine) for machine in types):
+        return "a task fits no allowed machine type"
+    count = spec.tasks if spec.kind == "daemon" else 1
+    if team.cpus_max > 0 and count * milli(spec.cpus) > milli_room(team.cpus_max):
+        return "cores: more than the team's limit"
+    if team.gpus_max > 0 and count * milli(spec.gpus) > milli_room(team.gpus_max):
+        return "cards: more than the team's limit"
+    return None
--- /dev/null
+++ b/mosswalk/jobs/board.py
@@ -0,0 +1,114 @@
+"""All jobs that are not over, kept by the mirror, with the indexes the deciders need."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable, Iterable
+
+import msgspec
+
+from mosswalk.jobs.state import Job
+from mosswalk.store import records
+from mosswalk.store.mirror import Mirror
+from mosswalk.store.records import Attempt, TaskChunk
+
+log = logging.getLogger(__name__)
+
+AttemptKey = tuple[str, int, int]
+
+
+class Board:
+    """Jobs by id, and live attempts by machine."""
+
+    def __init__(self, mirror: Mirror) -> None:
+        self.jobs: dict[str, Job] = {}
+        self.by_machine: dict[str, dict[AttemptKey, Attempt]] = {}
+        self._chunks: dict[str, dict[int, tuple[TaskChunk, int]]] = {}
+        self._indexed: dict[tuple[str, int], tuple[Attempt, ...]] = {}
+        # Called with (machine, job, attempt) when an attempt appears.
+        self.on_attempt: list[Callable[[str, Job, Attempt], None]] = []
+        mirror.listen(records.JOB_PREFIX, self._job_changed)
+        mirror.listen(records.CHUNK_PREFIX, self._chunk_changed)
+
+    def _index(self, job_id: str, chunk: int, live: tuple[Attempt, ...]) -> list[Attempt]:
+        old = self._indexed.get((job_id, chunk), ())
+        if live:
+            self._indexed[(job_id, chunk)] = live
+        else:
+            self._indexed.pop((job_id, chunk), None)
+        kept = set(live)
+        for attempt in old:
+            if attempt not in kept:
+                there = self.by_machine.get(attempt.machine)
+                if there is not None:
+                    there.pop((job_id, attempt.task, attempt.number), None)
+                    if not there:
+                        del self.by_machine[attempt.machine]
+        known = set(old)
+        fresh = [a for a in live if a not in known]
+        for attempt in fresh:
+            there = self.by_machine.setdefault(attempt.machine, {})
+            there[(job_id, attempt.task, attempt.number)] = attempt
+        return fresh
+
+    def _announce(self, job: Job, fresh: Iterable[Attempt]) -> None:
+        for attempt in fresh:
+            for action in self.on_attempt:
+                action(attempt.machine, job, attempt)
+
+    def _job_changed(self, key: str, value: bytes | None, version: int) -> None:
+        job_id = key.removeprefix(records.JOB_PREFIX)
+        if value is None:
+            self.jobs.pop(job_id, None)
+            for owner, chunk in [k for k in self._indexed if k[0] == job_id]:
+                self._index(owner, chunk, ())
+            return
+        try:
+            record = records.decode_job_record(value)
+        except msgspec.DecodeError as error:
+            log.error("job record %s can't be read: %s", key, error)
+            return
+        job = Job(record, version)
+        for number, (tasks, chunk_version) in self._chunks.get(job_id, {}).items():
+            job.chunks[number] = tasks
+            job.chunk_versions[number] = chunk_version
+        self.jobs[job_id] = job
+        self._announce(job, self._index(job_id, 0, record.tasks.live))
+
+    def _chunk_changed(self, key: str, value: bytes | None, version: int) -> None:
+        job_id, _, text = key.removeprefix(records.CHUNK_PREFIX).partition("/")
+        number = int(text)
+        chunks = self._chunks.setdefault(job_id, {})
+        job = self.jobs.get(job_id)
+        if value is None:
+            chunks.pop(number, None)
+            if not chunks:
+                del self._chunks[job_id]
+            if job is not None:
+                job.chunks.pop(number, None)
+            self._index(job_id, number, ())
+            return
+        tasks = records.decode_chunk(value)
+        chunks[number] = (tasks, version)
+        if job is not None:
+            job.chunks[number] = tasks
+            job.chunk_versions[number] = version
+            self._announce(job, self._index(job_id, number, tasks.live))
+
+    def orphans(self) -> list[str]:
+        """Chunks whose job is over."""
+        return [
+            records.chunk_key(job_id, number)
+            for job_id, chunks in self._chunks.items()
+            if job_id not in self.jobs
+            for number in chunks
+        ]
+
+    def attempts_on(self, machine: str) -> dict[AttemptKey, Attempt]:
+        """The live attempts on a machine."""
+        return self.by_machine.get(machine, {})
+
+    def is_live(self, key: AttemptKey) -> bool:
+        """Whether an attempt is in its job's record."""
+        job = self.jobs.get(key[0])
+        return job is not None and job.find(key[1], key[2]) is not None
--- /dev/null
+++ b/mosswalk/jobs/state.py
@@ -0,0 +1,243 @@
+"""The state machine of a job and its tasks, over the records of the state service.
+
+``Job`` is the mirrored state; ``Draft`` gathers changes to it and turns them into one commit.
+An attempt stays in the record, and counts against every rule, until an outcome removes it.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+from msgspec import Raw, structs
+
+from mosswalk.store import records
+from mosswalk.store.records import Attempt, FinalRecord, JobRecord, TaskChunk
+from mosswalk.store.writer import Change
+from mosswalk.wire.peers import Fate
+from mosswalk.wire.users import JobSpec
+
+PRIORITIES = ("prod", "high", "standard", "idle")
+
+
+def milli(amount: float) -> int:
+    """An amount in whole thousandths, rounded up so that sums never hide a part of it."""
+    scaled = amount * 1000
+    nearest = round(scaled)
+    return nearest if abs(scaled - nearest) < 1e-6 else int(scaled) + 1
+
+
+def milli_room(amount: float) -> int:
+    """Room in whole thousandths, rounded down."""
+    scaled = amount * 1000
+    nearest = round(scaled)
+    return nearest if abs(scaled - nearest) < 1e-6 else int(scaled)
+
+
+def task_name(job_id: str, index: int) -> str:
+    """How the wire names a task."""
+    return f"{job_id}/{index}"
+
+
+def split_task_name(name: str) -> tuple[str, int] | None:
+    """A task's job and index, or None if the name isn't one."""
+    job_id, slash, index = name.partition("/")
+    if not slash or not index.isascii() or not index.isdigit() or len(index) > 9:
+        return None
+    return job_id, int(index)
+
+
+class Job:
+    """A job that is not over, as the mirror shows it."""
+
+    def __init__(self, record: JobRecord, version: int) -> None:
+        self.record = record
+        self.version = version
+        self.chunks: dict[int, TaskChunk] = {}
+        self.chunk_versions: dict[int, int] = {}
+        spec = record.spec
+        self.cpus = milli(spec.cpus)
+        self.gpus = milli(spec.gpus)
+        self.memory = milli(spec.memory_gb)
+        self.rank = PRIORITIES.index(spec.priority)
+
+    @property
+    def spec(self) -> JobSpec:
+        """What the user asked for."""
+        return self.record.spec
+
+    @property
+    def id(self) -> str:
+        """The job's id."""
+        return self.record.spec.id
+
+    @property
+    def open(self) -> bool:
+        """Whether its tasks may start."""
+        return self.record.phase == "open"
+
+    def due_us(self) -> int:
+        """The wall time by which it should be done; the far future if it has no deadline."""
+        deadline_s = self.spec.deadline_s
+        if deadline_s is None:
+            return 1 << 62
+        return self.record.submitted_us + round(deadline_s * 1e6)
+
+    def pending_count(self) -> int:
+        """Tasks that are neither done nor live."""
+        return max(0, self.spec.tasks - self.record.done_count - self.record.live_count)
+
+    def chunk_of(self, index: int) -> int:
+        """Which record holds a task."""
+        return index // self.record.chunk
+
+    def tasks_of(self, chunk: int) -> TaskChunk:
+        """A record's tasks; one never written has all of them pending."""
+        if chunk == 0:
+            return self.record.tasks
+        return self.chunks.get(chunk, TaskChunk())
+
+    def chunk_numbers(self) -> range:
+        """All chunks of the job."""
+        return range(-(-self.spec.tasks // self.record.chunk))
+
+    def live(self) -> Iterator[Attempt]:
+        """Every attempt that may be running."""
+        yield from self.record.tasks.live
+        for chunk in self.chunks.values():
+            yield from chunk.live
+
+    def pending(self) -> Iterator[int]:
+        """Tasks to be placed, in order."""
+        left = self.pending_count()
+        size = self.record.chunk
+        for number in self.chunk_numbers():
+            if left <= 0:
+                return
+            tasks = self.tasks_of(number)
+            busy = {a.task for a in tasks.live}
+            mask = tasks.done_mask()
+            for index in range(number * size, min((number + 1) * size, self.spec.tasks)):
+                if not mask >> (index - number * size) & 1 and index not in busy:
+                    left -= 1
+                    yield index
+
+    def find(self, index: int, number: int) -> Attempt | None:
+        """A live attempt."""
+        for attempt in self.tasks_of(self.chunk_of(index)).live:
+            if attempt.task == index and attempt.number == number:
+                return attempt
+        return None
+
+
+class Draft:
+    """Changes to one job that become one commit."""
+
+    def __init__(self, job: Job, most_writes: int) -> None:
+        self.job = job
+        self.record = job.record
+        self._most_chunks = most_writes - 2
+        self._chunks: dict[int, TaskChunk] = {}
+        self.placed: list[Attempt] = []
+        self.settled: list[Attempt] = []
+
+    def _tasks(self, chunk: int) -> TaskChunk:
+        found = self._chunks.get(chunk)
+        return self.job.tasks_of(chunk) if found is None else found
+
+    def _may_touch(self, chunk: int) -> bool:
+        if chunk == 0 or chunk in self._chunks:
+            return True
+        return sum(1 for c in self._chunks if c) < self._most_chunks
+
+    def settle(self, index: int, number: int, fate: Fate) -> bool:
+        """Take an attempt out; whether it was there and could be."""
+        chunk = self.job.chunk_of(index)
+        tasks = self._tasks(chunk)
+        gone = next((a for a in tasks.live if a.task == index and a.number == number), None)
+        if gone is None or not self._may_touch(chunk):
+            return False
+        done = tasks.done
+        # A completed replica of a service has no business ending: it is started again.
+        if fate == "done" and self.record.spec.kind == "array":
+            mask = tasks.done_mask()
+            bit = 1 << (index - chunk * self.record.chunk)
+            if not mask & bit:
+                done = f"{mask | bit:x}"
+                self.record = structs.replace(self.record, done_count=self.record.done_count + 1)
+        live = tuple(a for a in tasks.live if a is not gone)
+        self._chunks[chunk] = TaskChunk(done, live)
+        self.record = structs.replace(self.record, live_count=self.record.live_count - 1)
+        self.settled.append(gone)
+        return True
+
+    def place(self, index: int, machine: str, tenure: int, term: int) -> Attempt | None:
+        """Add an attempt for a pending task; None if it is not pending or does not fit here."""
+        if self.record.phase != "open" or not 0 <= index < self.record.spec.tasks:
+            return None
+        chunk = self.job.chunk_of(index)
+        tasks = self._tasks(chunk)
+        if tasks.done_mask() >> (index - chunk * self.record.chunk) & 1:
+            return None
+        # The rule ran_twice: a task with an attempt that may be running gets no other.
+        if any(a.task == index for a in tasks.live) or not self._may_touch(chunk):
+            return None
+        attempt = Attempt(index, self.record.next_attempt, machine, tenure, term)
+        self._chunks[chunk] = TaskChunk(tasks.done, (*tasks.live, attempt))
+        self.record = structs.replace(
+            self.record,
+            next_attempt=self.record.next_attempt + 1,
+            live_count=self.record.live_count + 1,
+        )
+        self.placed.append(attempt)
+        return attempt
+
+    def changed(self) -> bool:
+        """Whether there is anything to commit."""
+        return bool(self.placed or self.settled) or self.final() is not None
+
+    def final(self) -> FinalRecord | None:
+        """What is kept of the job if these changes end it."""
+        record = self.record
+        if record.done_count >= record.spec.tasks:
+            return FinalRecord("done", record.done_count)
+        if record.phase == "withdrawn" and record.live_count == 0:
+            return FinalRecord("withdrawn", record.done_count)
+        return None
+
+    def change(self, guards: dict[str, int]) -> Change:
+        """The commit, guarded by the job's version and by what the caller adds."""
+        job_id = self.job.id
+        key = records.job_key(job_id)
+        all_guards = {**guards, key: self.job.version}
+        final = self.final()
+        if final is not None:
+            if self.record.phase == "withdrawn":
+                # A job once called cancelled stays so, even if its last task completed.
+                final = FinalRecord("withdrawn", final.done)
+            final_key = records.final_key(job_id)
+            puts = {final_key: Raw(records.encode(final))}
+            return Change({**all_guards, final_key: 0}, puts, (key,))
+        record = structs.replace(self.record, tasks=self._tasks(0))
+        puts = {key: Raw(records.encode(record))}
+        for chunk, tasks in self._chunks.items():
+            if chunk:
+                puts[records.chunk_key(job_id, chunk)] = Raw(records.encode(tasks))
+        return Change(all_guards, puts)
+
+
+def new_record(spec: JobSpec, submitted_us: int, chunk: int) -> JobRecord:
+    """The record of a job just submitted."""
+    return JobRecord(spec, submitted_us, chunk)
+
+
+def withdraw_change(job: Job) -> Change:
+    """The commit by which a job is cancelled."""
+    record = structs.replace(job.record, phase="withdrawn")
+    key = records.job_key(job.id)
+    if record.live_count == 0:
+        final_key = records.final_key(job.id)
+        final = FinalRecord("withdrawn", record.done_count)
+        return Change(
+            {key: job.version, final_key: 0}, {final_key: Raw(records.encode(final))}, (key,)
+        )
+    return Change({key: job.version}, {key: Raw(records.encode(record))})
--- /dev/null
+++ b/mosswalk/leadership/actor.py
@@ -0,0 +1,250 @@
+"""Keeps this controller's lease, stands for election, and changes terms when it leads."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import logging
+import random
+from collections.abc import Callable
+
+from msgspec import Raw
+
+from mosswalk.actors import Clock, to_us
+from mosswalk.config import Settings
+from mosswalk.leadership.terms import needs_new_term, next_term
+from mosswalk.store import records
+from mosswalk.store.client import (
+    ConflictError,
+    NoLeaseError,
+    RefusedError,
+    StateClient,
+    UnknownOutcomeError,
+)
+from mosswalk.store.mirror import Mirror
+from mosswalk.store.records import Presence, TermRecord
+from mosswalk.wire import state as wire
+
+log = logging.getLogger(__name__)
+
+# A controller that joins gets teams only once it has stayed this long: one that keeps
+# crashing must not cause a term each time.
+_SETTLE_US = 2_000_000
+
+
+class Leadership:
+    """This controller's place among the others."""
+
+    def __init__(
+        self, settings: Settings, client: StateClient, mirror: Mirror, clock: Clock,
+        rng: random.Random,
+    ) -> None:  # fmt: skip
+        self._client = client
+        self._mirror = mirror
+        self._clock = clock
+        self._rng = rng
+        self.node = settings.host_name
+        self.run_id = f"{rng.getrandbits(48):012x}"
+        self._ttl_us = to_us(settings.tuning.leadership.ttl_s)
+        self._renew_s = settings.tuning.leadership.renew_s
+        self._teams = [team.name for team in settings.params.teams]
+        workers = settings.params.workers
+        # How long a leader that can't reach the state service may keep workers alive. A job
+        # may be withdrawn elsewhere right after its last confirmation: its tasks must be dead
+        # within cancel_s, and they die lease_s after the last answer.
+        self._bound_us = to_us(max(0.0, (workers.cancel_s - workers.lease_s) * 0.95 - 1.0))
+        self._lease: int | None = None
+        self._lease_us = 0
+        self.term: TermRecord | None = None
+        self.term_version = 0
+        self._lead: Presence | None = None
+        self._lead_version = 0
+        self.runs: dict[str, str] = {}
+        self._runs_since_us = 0
+        self._outbid = 0
+        self._wanted_above = 0
+        self._wake = asyncio.Event()
+        self.on_term: list[Callable[[], None]] = []
+        mirror.listen(records.TERM_KEY, self._term_changed)
+        mirror.listen(records.LEADER_KEY, self._lead_changed)
+        mirror.listen(records.NODE_PREFIX, self._node_changed)
+
+    # What others ask.
+
+    def leads(self) -> bool:
+        """Whether this controller leads, as far as the state service has said."""
+        return (
+            self.term is not None
+            and self._lead is not None
+            and self._lead.run == self.run_id
+            and self._lead.node == self.node
+            and self.term.leader == self.node
+            and self.term.runs.get(self.node) == self.run_id
+            and self.term.term >= self._outbid
+        )
+
+    def may_answer(self) -> bool:
+        """Whether a leader may still renew workers' leases."""
+        confirmed_us = min(self._lease_us, self._mirror.confirmed_us)
+        return self.leads() and self._clock.now_us() - confirmed_us < self._bound_us
+
+    def may_start(self) -> bool:
+        """Whether a leader may start tasks: only while it hears from the state service."""
+        fresh_us = self._clock.now_us() - self._mirror.confirmed_us
+        return self.leads() and fresh_us < to_us(5.0)
+
+    def leader(self) -> str | None:
+        """Which controller leads, if any is known to."""
+        if self._lead is None or self.term is None:
+            return None
+        return self._lead.node
+
+    def epoch(self) -> int:
+        """The term."""
+        return self.term.term if self.term is not None else 0
+
+    def owns(self, team: str) -> bool:
+        """Whether this run of this controller places for a team."""
+        return (
+            self.term is not None
+            and self.term.owners.get(team) == self.node
+            and self.term.runs.get(self.node) == self.run_id
+        )
+
+    def outbid(self, epoch: int) -> None:
+        """A worker has seen a higher epoch: someone else leads."""
+        if epoch > self.epoch() and self.leads():
+            log.info("stepping down: a worker has seen epoch %d, ours is %d", epoch, self.epoch())
+            self._outbid = max(self._outbid, epoch)
+
+    def want_new_term(self) -> None:
+        """Have a new term made, so that every order of this one is outdated."""
+        self._wanted_above = max(self._wanted_above, self.epoch())
+        self._wake.set()
+
+    # What the mirror tells.
+
+    def _term_changed(self, _key: str, value: bytes | None, version: int) -> None:
+        self.term = records.decode_term(value) if value is not None else None
+        self.term_version = version if value is not None else 0
+        if self.term is not None:
+            log.info(
+                "term %d: leader %s, owners %s",
+                self.term.term, self.term.leader, sorted(self.term.owners.items()),
+            )  # fmt: skip
+        for action in self.on_term:
+            action()
+        self._wake.set()
+
+    def _lead_changed(self, _key: str, value: bytes | None, version: int) -> None:
+        self._lead = records.decode_presence(value) if value is not None else None
+        self._lead_version = version if value is not None else 0
+        log.info("leader key: %s", self._lead.node if self._lead else "free")
+        self._wake.set()
+
+    def _node_changed(self, key: str, value: bytes | None, _version: int) -> None:
+        node = key.removeprefix(records.NODE_PREFIX)
+        if value is None:
+            self.runs.pop(node, None)
+        else:
+            self.runs[node] = records.decode_presence(value).run
+        self._runs_since_us = self._clock.now_us()
+        self._wake.set()
+
+    # The lease.
+
+    def _me(self) -> Raw:
+        return Raw(records.encode(Presence(self.node, self.run_id)))
+
+    async def _take_lease(self) -> None:
+        asked_us = self._clock.now_us()
+        lease = await self._client.grant(self._ttl_us // 1000)
+        key = records.NODE_PREFIX + self.node
+        await self._client.commit(
+            wire.Transaction((), (wire.Write(key=key, value=self._me(), lease=lease),))
+        )
+        self._lease = lease
+        self._lease_us = asked_us
+        log.info("present: lease %d", lease)
+
+    async def keep_lease(self) -> None:
+        """Hold a lease for ever."""
+        while True:
+            try:
+                if self._lease is None:
+                    await self._take_lease()
+                else:
+                    asked_us = self._clock.now_us()
+                    await self._client.renew(self._lease, self._ttl_us / 1e6)
+                    self._lease_us = asked_us
+            except NoLeaseError:
+                log.info("lease %s has ended", self._lease)
+                self._lease = None
+                continue
+            except (RefusedError, UnknownOutcomeError) as error:
+                log.debug("lease: %s", error)
+                await asyncio.sleep(0.2 * self._rng.uniform(0.8, 1.2))
+                continue
+            self._wake.set()
+            await asyncio.sleep(self._renew_s * self._rng.uniform(0.9, 1.1))
+
+    # Elections and terms.
+
+    async def run(self) -> None:
+        """Stand when nobody leads; when leading, keep the term in step with who is up."""
+        while True:
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(self._wake.wait(), 0.5)
+            self._wake.clear()
+            if not self._mirror.loaded or self._lease is None:
+                continue
+            try:
+                await self._consider()
+            except ConflictError as conflict:
+                log.info("term not changed: %s", conflict)
+                await asyncio.sleep(0.1)
+            except (RefusedError, UnknownOutcomeError, NoLeaseError) as error:
+                log.info("term not changed: %s", error)
+                await asyncio.sleep(0.3 * self._rng.uniform(0.8, 1.2))
+
+    async def _consider(self) -> None:
+        now_us = self._clock.now_us()
+        mine = self._lead is not None and self._lead.node == self.node
+        if self._lead is None:
+            # Those who notice together should not all write at once.
+            await asyncio.sleep(self._rng.uniform(0.0, 0.08))
+            if self._lead is None:
+                await self._stand("nobody leads")
+        elif mine and self._lead is not None and self._lead.run != self.run_id:
+            # Our last run led, and it is dead for certain: no need to wait for its lease.
+            await self._stand("our last run led")
+        elif mine and self.term is not None:
+            restarted = any(run != self.term.runs.get(node, run) for node, run in self.runs.items())
+            gone = any(node not in self.runs for node in self.term.runs)
+            settled = now_us - self._runs_since_us > _SETTLE_US
+            wanted = max(self._outbid, self._wanted_above + 1) > self.term.term
+            if wanted or (needs_new_term(self.term, self._up()) and (restarted or gone or settled)):
+                await self._stand("controllers changed")
+
+    def _up(self) -> dict[str, str]:
+        return {**self.runs, self.node: self.run_id}
+
+    async def _stand(self, why: str) -> None:
+        if self._lease is None:
+            return
+        term = next_term(self.term, self.node, self._up(), self._teams, self._outbid)
+        guards = (
+            wire.Guard(records.LEADER_KEY, self._lead_version),
+            wire.Guard(records.TERM_KEY, self.term_version),
+        )
+        writes = (
+            wire.Write(key=records.LEADER_KEY, value=self._me(), lease=self._lease),
+            wire.Write(key=records.TERM_KEY, value=Raw(records.encode(term))),
+        )
+        log.info("standing for term %d: %s", term.term, why)
+        revision = await self._client.commit(wire.Transaction(guards, writes))
+        # Wait for the mirror to show it, so that the same term is not written twice.
+        for _ in range(100):
+            if self._mirror.revision >= revision:
+                return
+            await asyncio.sleep(0.02)
--- /dev/null
+++ b/mosswalk/leadership/terms.py
@@ -0,0 +1,57 @@
+"""Pure decisions about terms."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+
+from mosswalk.store.records import TermRecord
+
+
+def assign_teams(
+    teams: Iterable[str], leader: str, alive: Iterable[str], before: Mapping[str, str]
+) -> dict[str, str]:
+    """Which controller owns which team.
+
+    Teams stay where they are as far as the spread allows; the leader, which has other work,
+    takes the smaller share. A lone team stays with the leader, next to the machine book.
+    """
+    names = sorted(set(teams))
+    nodes = sorted({*alive, leader}, key=lambda node: (node == leader, node))
+    if len(names) <= 1:
+        return dict.fromkeys(names, leader)
+    base, extra = divmod(len(names), len(nodes))
+    room = {node: base + (1 if i < extra else 0) for i, node in enumerate(nodes)}
+    owners: dict[str, str] = {}
+    for team in names:
+        node = before.get(team)
+        if node is not None and room.get(node, 0) > 0:
+            owners[team] = node
+            room[node] -= 1
+    for team in names:
+        if team not in owners:
+            node = max(nodes, key=lambda n: room[n])
+            owners[team] = node
+            room[node] -= 1
+    return owners
+
+
+def next_term(
+    current: TermRecord | None,
+    leader: str,
+    runs: Mapping[str, str],
+    teams: Iterable[str],
+    above: int = 0,
+) -> TermRecord:
+    """The term in which ``leader`` leads the controllers that are up; beyond ``above`` too."""
+    number = max(current.term if current is not None else 0, above) + 1
+    before = current.owners if current is not None else {}
+    return TermRecord(number, leader, assign_teams(teams, leader, runs, before), dict(runs))
+
+
+def needs_new_term(current: TermRecord, runs: Mapping[str, str]) -> bool:
+    """Whether the controllers that are up are not those the term was made for.
+
+    A controller that was restarted counts as changed: a commit its last run sent may still
+    arrive, and only a new term makes sure that it fails.
+    """
+    return dict(current.runs) != dict(runs)
--- /dev/null
+++ b/mosswalk/peers/__init__.py
@@ -0,0 +1,91 @@
+"""Controllers' talk to each other: MessagePack over HTTP on their own port."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Awaitable, Callable
+from typing import TypeVar
+
+import aiohttp
+import msgspec
+from aiohttp import web
+
+from mosswalk.config import Settings
+from mosswalk.wire.peers import Offer, OfferAnswer, Outcomes
+
+log = logging.getLogger(__name__)
+
+T = TypeVar("T")
+
+
+class PeerError(Exception):
+    """No usable answer; nothing follows from it about the other controller."""
+
+
+class PeerClient:
+    """Speaks to the other controllers by name."""
+
+    def __init__(self, session: aiohttp.ClientSession, settings: Settings) -> None:
+        self._session = session
+        self._addresses = {peer.host_name: peer.address for peer in settings.known}
+
+    async def _post(self, node: str, path: str, message: object, timeout_s: float) -> bytes:
+        address = self._addresses.get(node)
+        if address is None:
+            raise PeerError(f"unknown controller {node}")
+        try:
+            async with self._session.post(
+                f"http://{address}{path}", data=msgspec.msgpack.encode(message),
+                timeout=aiohttp.ClientTimeout(total=timeout_s, sock_connect=1.0),
+            ) as response:  # fmt: skip
+                body = await response.read()
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            raise PeerError(str(error) or type(error).__name__) from None
+        if response.status != 200:
+            raise PeerError(f"status {response.status}")
+        return body
+
+    async def offer(self, node: str, message: Offer) -> OfferAnswer:
+        """Offer room to the owner of some teams."""
+        body = await self._post(node, "/offer", message, 5.0)
+        try:
+            return msgspec.msgpack.decode(body, type=OfferAnswer)
+        except msgspec.DecodeError as error:
+            log.error("controller %s: malformed answer dropped: %s", node, error)
+            raise PeerError("malformed answer") from None
+
+    async def outcomes(self, node: str, message: Outcomes) -> None:
+        """Tell the owner what became of attempts."""
+        await self._post(node, "/outcomes", message, 2.0)
+
+
+def peer_app(
+    on_offer: Callable[[Offer], Awaitable[OfferAnswer]], on_outcomes: Callable[[Outcomes], None]
+) -> web.Application:
+    """The port that other controllers speak to."""
+
+    async def decoded(request: web.Request, kind: type[T]) -> T:
+        try:
+            return msgspec.msgpack.decode(await request.read(), type=kind)
+        except msgspec.DecodeError as error:
+            log.error("controller at %s: malformed %s dropped: %s",
+                      request.remote, kind.__name__, error)  # fmt: skip
+            raise web.HTTPBadRequest from None
+
+    async def offer(request: web.Request) -> web.Response:
+        message = await decoded(request, Offer)
+        try:
+            answer = await asyncio.wait_for(on_offer(message), 6.0)
+        except TimeoutError:
+            return web.Response(status=503)
+        return web.Response(body=msgspec.msgpack.encode(answer))
+
+    async def outcomes(request: web.Request) -> web.Response:
+        on_outcomes(await decoded(request, Outcomes))
+        return web.Response()
+
+    app = web.Application(client_max_size=4 * 1024 * 1024)
+    app.router.add_post("/offer", offer)
+    app.router.add_post("/outcomes", outcomes)
+    return app
--- /dev/null
+++ b/mosswalk/placement/owner.py
@@ -0,0 +1,231 @@
+"""The team owner: queues and places its teams' tasks, and writes what became of them.
+
+One round at a time: it takes the outcomes and offers that have come in, turns each job's into
+one change and waits until every change is decided. So a job never has two changes under way,
+and quota, spread and one-zone are judged on what is committed or being committed here alone.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from mosswalk.actors import SECOND_US, Clock
+from mosswalk.config import Settings, Team
+from mosswalk.jobs.board import Board
+from mosswalk.jobs.state import Draft, split_task_name
+from mosswalk.leadership.actor import Leadership
+from mosswalk.placement.queues import TeamQueue, Usage, usage_by_team
+from mosswalk.placement.rooms import room_of
+from mosswalk.store import records
+from mosswalk.store.client import ConflictError, RefusedError, UnknownOutcomeError
+from mosswalk.store.mirror import Mirror
+from mosswalk.store.writer import Change, GroupWriter
+from mosswalk.wire.peers import Offer, OfferAnswer, Outcome, Outcomes
+
+log = logging.getLogger(__name__)
+
+_BACKOFF_US = SECOND_US
+_MOST_BACKOFF_US = 30 * SECOND_US
+_MOST_AVOIDED = 6
+
+
+@dataclass
+class _Hold:
+    """A job whose attempts fail for reasons that are not the machine's: wait before the next."""
+
+    failures: int
+    until_us: int
+
+
+class Owner:
+    """Places for the teams this controller owns in the current term."""
+
+    def __init__(
+        self, settings: Settings, mirror: Mirror, board: Board, writer: GroupWriter,
+        leadership: Leadership, clock: Clock, rng: random.Random,
+    ) -> None:  # fmt: skip
+        self._mirror = mirror
+        self._board = board
+        self._writer = writer
+        self._leadership = leadership
+        self._clock = clock
+        self._rng = rng
+        self._ops = settings.params.state.txn_ops
+        self._teams = {team.name: team for team in settings.params.teams}
+        self._outcomes: dict[tuple[str, int], Outcome] = {}
+        self._offers: list[tuple[Offer, asyncio.Future[OfferAnswer]]] = []
+        self._wake = asyncio.Event()
+        self._avoid: dict[str, set[str]] = {}
+        self._holds: dict[str, _Hold] = {}
+        self.zone_of: Callable[[], dict[str, str]] = dict
+
+    # What others tell it.
+
+    def outcomes(self, message: Outcomes) -> None:
+        """Outcomes of attempts; repeated by the leader until the records show them."""
+        for outcome in message.outcomes:
+            self._outcomes[(outcome.task, outcome.attempt)] = outcome
+        if message.outcomes:
+            self._wake.set()
+
+    async def offer(self, message: Offer) -> OfferAnswer:
+        """Room for tasks; answered once what was placed is committed."""
+        future: asyncio.Future[OfferAnswer] = asyncio.get_running_loop().create_future()
+        self._offers.append((message, future))
+        self._wake.set()
+        return await future
+
+    async def run(self) -> None:
+        """Rounds for ever."""
+        while True:
+            await self._wake.wait()
+            self._wake.clear()
+            offers, self._offers = self._offers, []
+            try:
+                await self._round(offers)
+            except Exception:
+                log.exception("a placing round failed")
+                await asyncio.sleep(0.2)
+            for _, future in offers:
+                if not future.done():
+                    future.set_result(OfferAnswer(self._mirror.revision, 0))
+            self._forget()
+
+    # One round.
+
+    async def _round(self, offers: list[tuple[Offer, asyncio.Future[OfferAnswer]]]) -> None:
+        term = self._leadership.term
+        if term is None:
+            self._outcomes.clear()
+            return
+        drafts: dict[str, Draft] = {}
+        self._apply_outcomes(drafts)
+        for job in self._board.jobs.values():
+            # A withdrawn job whose last attempt went while it was being withdrawn.
+            if (
+                not job.open
+                and job.record.live_count == 0
+                and job.id not in drafts
+                and self._leadership.owns(job.spec.team)
+            ):
+                drafts[job.id] = Draft(job, self._ops)
+        placed_for: list[tuple[asyncio.Future[OfferAnswer], int]] = []
+        usage = usage_by_team(self._board.jobs.values())
+        zones: dict[str, str] = dict(self.zone_of())
+        for offer, future in offers:
+            placed = 0
+            if offer.term == term.term:
+                for slots in offer.teams:
+                    for slot in slots.slots:
+                        zones[slot.machine] = slot.zone
+                for slots in offer.teams:
+                    if self._leadership.owns(slots.team) and slots.team in self._teams:
+                        rooms = [room_of(slot) for slot in slots.slots]
+                        placed += self._place_team(
+                            self._teams[slots.team], rooms, usage, zones, drafts, term.term
+                        )
+            placed_for.append((future, placed))
+        guards = {records.TERM_KEY: self._leadership.term_version}
+        changes = [d.change(guards) for d in drafts.values() if d.changed()]
+        revisions = await asyncio.gather(*(self._commit(c) for c in changes))
+        self._mirror.batch_done()
+        highest = max((r for r in revisions if r is not None), default=self._mirror.revision)
+        for future, placed in placed_for:
+            if not future.done():
+                future.set_result(OfferAnswer(highest, placed))
+        for draft in drafts.values():
+            for attempt in draft.placed:
+                log.info(
+                    "placed %s/%d attempt %d on %s",
+                    draft.job.id, attempt.task, attempt.number, attempt.machine,
+                )  # fmt: skip
+
+    def _apply_outcomes(self, drafts: dict[str, Draft]) -> None:
+        outcomes, self._outcomes = self._outcomes, {}
+        for (task, number), outcome in outcomes.items():
+            split = split_task_name(task)
+            job = self._board.jobs.get(split[0]) if split is not None else None
+            if split is None or job is None or not self._leadership.owns(job.spec.team):
+                continue
+            attempt = job.find(split[1], number)
+            if attempt is None or attempt.machine != outcome.machine:
+                continue
+            draft = drafts.setdefault(job.id, Draft(job, self._ops))
+            if not draft.settle(split[1], number, outcome.fate):
+                # Too many chunks for one commit: the leader will tell us again.
+                continue
+            log.info("%s attempt %d on %s: %s", task, number, outcome.machine, outcome.fate)
+            self._learn(job.id, outcome)
+
+    def _learn(self, job_id: str, outcome: Outcome) -> None:
+        if outcome.fate == "done":
+            self._holds.pop(job_id, None)
+            return
+        if outcome.fate == "error":
+            avoid = self._avoid.setdefault(job_id, set())
+            if len(avoid) >= _MOST_AVOIDED:
+                avoid.clear()
+            avoid.add(outcome.machine)
+        if outcome.fate in ("error", "refused"):
+            hold = self._holds.setdefault(job_id, _Hold(0, 0))
+            hold.failures += 1
+            # The first failures are mostly the machine's: try elsewhere at once. A job that
+            # fails everywhere must not take the cluster's time.
+            if hold.failures > 3 or outcome.fate == "refused":
+                wait_us = min(_MOST_BACKOFF_US, _BACKOFF_US << min(5, max(0, hold.failures - 4)))
+                hold.until_us = self._clock.now_us() + wait_us
+
+    def _place_team(
+        self, team: Team, rooms: list, usage: dict[str, Usage], zones: dict[str, str],  # type: ignore[type-arg]
+        drafts: dict[str, Draft], term: int,
+    ) -> int:  # fmt: skip
+        now_us = self._clock.now_us()
+        held = {job_id: h for job_id, h in self._holds.items() if h.until_us > now_us}
+        own = usage.setdefault(team.name, Usage())
+        jobs = [
+            job
+            for job in self._board.jobs.values()
+            if job.spec.team == team.name and job.id not in drafts
+        ]
+        queue = TeamQueue(team, jobs, own, zones, self._avoid, held)
+        placed = 0
+        while (placing := queue.place_one(rooms)) is not None:
+            draft = drafts.get(placing.job.id)
+            if draft is None:
+                draft = drafts[placing.job.id] = Draft(placing.job, self._ops)
+            room = placing.room
+            if draft.place(placing.index, room.machine, room.tenure, term) is not None:
+                placed += 1
+        # Attempts settled in this round still count: their room shows in the next one.
+        usage[team.name] = queue.usage
+        return placed
+
+    async def _commit(self, change: Change) -> int | None:
+        try:
+            revision = await self._writer.commit(change)
+        except ConflictError as conflict:
+            log.info("placing commit: %s", conflict)
+            keys = [k for k in conflict.failed if not k.startswith(records.FINAL_PREFIX)]
+            try:
+                await self._mirror.refresh(keys)
+            except (RefusedError, UnknownOutcomeError):
+                log.debug("refresh after a conflict failed; the watch will tell")
+            return None
+        except (RefusedError, UnknownOutcomeError) as error:
+            log.info("placing commit given up: %s", error)
+            return None
+        for key, value in change.puts.items():
+            if key.startswith(records.MIRROR):
+                self._mirror.apply_read(key, bytes(value), revision)
+        for key in change.deletes:
+            self._mirror.apply_read(key, None, revision)
+        return revision
+
+    def _forget(self) -> None:
+        for table in (self._avoid, self._holds):
+            for job_id in [j for j in table if j not in self._board.jobs]:
+                del table[job_id]
--- /dev/null
+++ b/mosswalk/placement/rooms.py
@@ -0,0 +1,112 @@
+"""Room on booted machines, and whether a task may take it."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from mosswalk.jobs.state import Job
+from mosswalk.wire.peers import SlotOffer
+
+
+@dataclass(slots=True)
+class Room:
+    """What is free on one machine; amounts in thousandths."""
+
+    machine: str
+    type: str
+    zone: str
+    spot: bool
+    tenure: int
+    cpus: int
+    gpus: int
+    memory: int
+    images: frozenset[str] = frozenset()
+    price: float = 0.0
+
+    def holds(self, job: Job) -> bool:
+        """Whether one task of the job fits by amounts."""
+        return self.cpus >= job.cpus and self.gpus >= job.gpus and self.memory >= job.memory
+
+    def take(self, job: Job, count: int = 1) -> None:
+        """Use room for tasks."""
+        self.cpus -= job.cpus * count
+        self.gpus -= job.gpus * count
+        self.memory -= job.memory * count
+
+    def allows(self, job: Job) -> bool:
+        """Whether the job may run on such a machine at all."""
+        spec = job.spec
+        if spec.types is not None and self.type not in spec.types:
+            return False
+        if spec.zone is not None and spec.zone != self.zone:
+            return False
+        return spec.spot or not self.spot
+
+
+def room_of(offer: SlotOffer) -> Room:
+    """The room of an offer."""
+    return Room(
+        offer.machine, offer.type, offer.zone, offer.spot, offer.tenure,
+        offer.cpus, offer.gpus, offer.memory, frozenset(offer.images), offer.price,
+    )  # fmt: skip
+
+
+@dataclass(slots=True)
+class ZoneRule:
+    """Where a job's next task may go, given its attempts that may be running."""
+
+    one_zone: bool
+    most_in_zone: int
+    counts: dict[str, int] = field(default_factory=dict)
+
+    def allows(self, zone: str) -> bool:
+        """Whether one more attempt may start in the zone."""
+        if self.one_zone and self.counts and zone not in self.counts:
+            return False
+        return self.counts.get(zone, 0) < self.most_in_zone
+
+    def add(self, zone: str) -> None:
+        """Count an attempt."""
+        self.counts[zone] = self.counts.get(zone, 0) + 1
+
+
+def zone_rule(job: Job, zone_of: dict[str, str]) -> ZoneRule | None:
+    """The rule for a job; None if the zone of one of its machines is not known yet.
+
+    An attempt on a machine nobody can tell the zone of might be anywhere, so a job with a rule
+    about zones then waits.
+    """
+    spec = job.spec
+    if not spec.one_zone and not spec.spread:
+        return ZoneRule(False, spec.tasks)
+    rule = ZoneRule(spec.one_zone, -(-spec.tasks // 2) if spec.spread else spec.tasks)
+    for attempt in job.live():
+        zone = zone_of.get(attempt.machine)
+        if zone is None:
+            return None
+        rule.add(zone)
+    return rule
+
+
+def best_room(job: Job, rooms: Iterable[Room], rule: ZoneRule, avoid: set[str]) -> Room | None:
+    """Where the job's next task goes: image at hand, cheap if it may be, and a tight fit."""
+    best: Room | None = None
+    best_key: tuple[bool, bool, int, int, str] | None = None
+    spec = job.spec
+    for room in rooms:
+        if not room.holds(job) or not room.allows(job) or room.machine in avoid:
+            continue
+        if not rule.allows(room.zone):
+            continue
+        key = (
+            spec.image not in room.images,
+            spec.spot and not room.spot,
+            # Spread replicas evenly, so that the last one still finds a zone open.
+            rule.counts.get(room.zone, 0) if spec.spread else 0,
+            room.cpus - job.cpus,
+            room.machine,
+        )
+        if best_key is None or key < best_key:
+            best, best_key = room, key
+    return best
--- /dev/null
+++ b/mosswalk/service.py
@@ -0,0 +1,110 @@
+"""Puts the actors of one controller together."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+from collections.abc import Coroutine
+from typing import Any
+
+import aiohttp
+from aiohttp import web
+
+from mosswalk.actors import Clock, SystemClock
+from mosswalk.api import users_app
+from mosswalk.api.jobs import JobDesk
+from mosswalk.cloud.actor import CloudCaller
+from mosswalk.cloud.client import CloudClient
+from mosswalk.config import Settings, split_address
+from mosswalk.fleet.steward import Steward
+from mosswalk.jobs.board import Board
+from mosswalk.leadership.actor import Leadership
+from mosswalk.metrics import Metrics
+from mosswalk.peers import PeerClient, peer_app
+from mosswalk.placement.owner import Owner
+from mosswalk.store.client import StateClient
+from mosswalk.store.mirror import Mirror
+from mosswalk.store.writer import GroupWriter
+
+log = logging.getLogger(__name__)
+
+
+class Controller:
+    """One controller; everything it needs is handed in, so that tests can stand in for it."""
+
+    def __init__(
+        self, settings: Settings, session: aiohttp.ClientSession, clock: Clock,
+        rng: random.Random,
+    ) -> None:  # fmt: skip
+        params = settings.params
+        self.settings = settings
+        self.client = StateClient(session, settings.outside.state, params.state.rps, clock)
+        self.mirror = Mirror(self.client, clock, rng)
+        self.writer = GroupWriter(
+            self.client, clock, rng, params.state.write_rps, params.state.txn_ops
+        )
+        self.board = Board(self.mirror)
+        self.leadership = Leadership(settings, self.client, self.mirror, clock, rng)
+        self.owner = Owner(
+            settings, self.mirror, self.board, self.writer, self.leadership, clock, rng
+        )
+        self.peers = PeerClient(session, settings)
+        self.steward = Steward(
+            settings, self.mirror, self.board, self.writer, self.leadership, self.owner,
+            self.peers, session, clock, rng,
+        )  # fmt: skip
+        self.cloud = CloudCaller(
+            CloudClient(session, settings.outside.cloud), clock, rng, params.cloud.rps,
+            self.steward.tell, self.leadership.leads,
+        )  # fmt: skip
+        self.steward.cloud = self.cloud
+        self.desk = JobDesk(settings, self.client, self.mirror, self.writer, clock, rng)
+        self.metrics = Metrics(self)
+
+    def healthy(self) -> bool:
+        """Whether users' requests can be taken here."""
+        return self.mirror.loaded
+
+    def apps(self) -> tuple[web.Application, web.Application]:
+        """The applications for users and workers, and for other controllers."""
+        users = users_app(self.desk, self.steward.report, self.healthy, self.metrics.render)
+        return users, peer_app(self.owner.offer, self.owner.outcomes)
+
+    def work(self) -> list[Coroutine[Any, Any, None]]:
+        """All that runs for ever."""
+        return [
+            self.mirror.run(),
+            self.writer.run(),
+            self.leadership.keep_lease(),
+            self.leadership.run(),
+            self.owner.run(),
+            self.steward.run(),
+            self.steward.ticker(),
+            self.cloud.run_releases(),
+        ]
+
+
+async def listen(app: web.Application, address: str) -> web.AppRunner:
+    """Serve an application."""
+    runner = web.AppRunner(app, access_log=None, keepalive_timeout=120.0, handle_signals=False)
+    await runner.setup()
+    host, port = split_address(address)
+    await web.TCPSite(runner, host, port, backlog=512, reuse_address=True).start()
+    return runner
+
+
+async def serve(settings: Settings) -> None:
+    """Run a controller until it is killed."""
+    # Sockets are limited: the larger part is left for users and workers.
+    most = max(16, settings.params.machine_limits.max_connections // 4)
+    connector = aiohttp.TCPConnector(limit=most, limit_per_host=0, keepalive_timeout=30.0)
+    async with aiohttp.ClientSession(connector=connector) as session:
+        controller = Controller(settings, session, SystemClock(), random.Random())
+        users, peers = controller.apps()
+        await listen(users, settings.serve_on)
+        await listen(peers, settings.cluster_listen)
+        log.info("%s serves on %s", settings.host_name, settings.serve_on)
+        # None of these ever returns; if one fails the process must end and be started again
+        # rather than go on without it.
+        await asyncio.gather(*controller.work())
--- /dev/null
+++ b/mosswalk/store/writer.py
@@ -0,0 +1,199 @@
+"""Group commit within the write budget.
+
+Requests whose guards are independent share a transaction. A transaction with no known outcome
+is sent again, unchanged, until the service gives a definite answer: its guards name exact
+versions, so of several copies at most one can apply, and a late one can't apply after another
+change to the same keys. Until then nothing else is built on what it may have done.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+from collections import deque
+
+from msgspec import Raw, Struct
+
+from mosswalk.actors import Clock, to_s
+from mosswalk.cloud.bucket import TokenBucket
+from mosswalk.store.client import (
+    ConflictError,
+    NoLeaseError,
+    RefusedError,
+    StateClient,
+    UnknownOutcomeError,
+)
+from mosswalk.wire import state as wire
+
+log = logging.getLogger(__name__)
+
+_MAX_BYTES = 60 * 1024
+_IN_FLIGHT = 4
+
+
+class Change(Struct):
+    """Puts and deletes that are applied together, if the guards hold."""
+
+    guards: dict[str, int]
+    puts: dict[str, Raw]
+    deletes: tuple[str, ...] = ()
+    # Turned down at once when the service refuses, instead of tried again.
+    impatient: bool = False
+
+    def size(self) -> int:
+        """How many writes it takes."""
+        return len(self.puts) + len(self.deletes)
+
+    def bytes(self) -> int:
+        """Roughly how much room it takes in a transaction."""
+        return sum(len(bytes(v)) + len(k) + 40 for k, v in self.puts.items()) + 60 * (
+            len(self.guards) + len(self.deletes)
+        )
+
+
+class _Waiting:
+    def __init__(self, change: Change, future: asyncio.Future[int]) -> None:
+        self.change = change
+        self.future = future
+
+
+class GroupWriter:
+    """Takes changes and commits them in groups."""
+
+    def __init__(
+        self, client: StateClient, clock: Clock, rng: random.Random, write_rps: float, txn_ops: int
+    ) -> None:
+        self._client = client
+        self._clock = clock
+        self._rng = rng
+        self._ops = txn_ops
+        self._bucket = TokenBucket(write_rps, max(write_rps * 0.8, txn_ops), clock.now_us())
+        self._queue: deque[_Waiting] = deque()
+        self._wake = asyncio.Event()
+
+    async def commit(self, change: Change) -> int:
+        """The revision of the change; ConflictError, RefusedError or UnknownOutcomeError."""
+        if change.size() > self._ops:
+            raise ValueError(f"a change of {change.size()} writes can't be one transaction")
+        future: asyncio.Future[int] = asyncio.get_running_loop().create_future()
+        self._queue.append(_Waiting(change, future))
+        self._wake.set()
+        return await future
+
+    def backlog(self) -> int:
+        """How many changes wait for their turn."""
+        return len(self._queue)
+
+    def _next_group(self) -> list[_Waiting]:
+        group: list[_Waiting] = []
+        ops = size = 0
+        guards: dict[str, int] = {}
+        touched: set[str] = set()
+        while self._queue:
+            change = self._queue[0].change
+            if self._queue[0].future.done():
+                self._queue.popleft()
+                continue
+            keys = {*change.puts, *change.deletes}
+            clash = touched & keys or any(guards.get(k, v) != v for k, v in change.guards.items())
+            ops += change.size()
+            size += change.bytes()
+            if group and (ops > self._ops or size > _MAX_BYTES or clash):
+                break
+            if group and len(guards.keys() | change.guards.keys()) > 4 * self._ops:
+                break
+            guards.update(change.guards)
+            touched |= keys
+            group.append(self._queue.popleft())
+        return group
+
+    async def run(self) -> None:
+        """Commit groups for ever."""
+        running: set[asyncio.Task[None]] = set()
+        while True:
+            if not self._queue:
+                self._wake.clear()
+                await self._wake.wait()
+            if len(running) >= _IN_FLIGHT:
+                await asyncio.wait(running, return_when=asyncio.FIRST_COMPLETED)
+                continue
+            # Others that are ready in this turn of the loop join the group.
+            await asyncio.sleep(0)
+            group = self._next_group()
+            if not group:
+                continue
+            ops = sum(w.change.size() for w in group)
+            wait_us = self._bucket.wait_us(self._clock.now_us(), max(ops, 0.1))
+            if wait_us > 0:
+                await asyncio.sleep(to_s(wait_us))
+            task = asyncio.create_task(self._commit_group(group))
+            running.add(task)
+            task.add_done_callback(running.discard)
+
+    async def _commit_group(self, group: list[_Waiting]) -> None:
+        guards = {k: v for w in group for k, v in w.change.guards.items()}
+        puts = {k: v for w in group for k, v in w.change.puts.items()}
+        deletes = [k for w in group for k in w.change.deletes]
+        transaction = wire.Transaction(
+            tuple(wire.Guard(k, v) for k, v in guards.items()),
+            (
+                *(wire.Write(key=k, value=v) for k, v in puts.items()),
+                *(wire.Write(delete=k) for k in deletes),
+            ),
+        )
+        unknown = False
+        pause_s = 0.1
+        while True:
+            try:
+                revision = await self._client.commit(transaction)
+            except ConflictError as conflict:
+                self._sort_out(group, set(conflict.failed), conflict)
+                return
+            except NoLeaseError:
+                self._fail(group, RefusedError("no such lease"))
+                return
+            except RefusedError as error:
+                if not unknown:
+                    group = self._fail_impatient(group, error)
+                    if not group:
+                        return
+                    # Nothing was carried out, so the rest may be grouped anew.
+                    await asyncio.sleep(pause_s * self._rng.uniform(0.7, 1.3))
+                    self._queue.extendleft(reversed(group))
+                    self._wake.set()
+                    return
+            except UnknownOutcomeError as error:
+                unknown = True
+                log.info("commit with no answer, sent again as it is: %s", error)
+            else:
+                for waiting in group:
+                    if not waiting.future.done():
+                        waiting.future.set_result(revision)
+                return
+            # No giving up here: an owner that took an unknown outcome for a failure would count
+            # quota without attempts that a late copy may still bring.
+            await asyncio.sleep(pause_s * self._rng.uniform(0.7, 1.3))
+            pause_s = min(1.0, pause_s * 1.6)
+
+    def _fail(self, group: list[_Waiting], error: Exception) -> None:
+        for waiting in group:
+            if not waiting.future.done():
+                waiting.future.set_exception(error)
+
+    def _fail_impatient(self, group: list[_Waiting], error: Exception) -> list[_Waiting]:
+        self._fail([w for w in group if w.change.impatient], error)
+        return [w for w in group if not w.change.impatient]
+
+    def _sort_out(self, group: list[_Waiting], failed: set[str], error: ConflictError) -> None:
+        blamed = [w for w in group if failed & w.change.guards.keys()]
+        # An answer that names none of our guards would be sent again for ever.
+        if not blamed:
+            blamed = group
+        self._fail(blamed, error)
+        # A late copy of this transaction fails by the guard that failed now, since versions
+        # never return: the others may go again on their own.
+        rest = [w for w in group if w not in blamed]
+        self._queue.extendleft(reversed(rest))
+        if rest:
+            self._wake.set()
--- /dev/null
+++ b/mosswalk/wire/peers.py
@@ -0,0 +1,61 @@
+"""Messages between controllers: MessagePack over their own HTTP port."""
+
+from __future__ import annotations
+
+from typing import Literal
+
+from msgspec import Struct
+
+Fate = Literal["done", "error", "stopped", "refused", "lost"]
+
+
+class SlotOffer(Struct, frozen=True, array_like=True):
+    """Room on one booted machine that a team may use; amounts in thousandths."""
+
+    machine: str
+    type: str
+    zone: str
+    spot: bool
+    tenure: int
+    cpus: int
+    gpus: int
+    memory: int
+    images: tuple[str, ...] = ()
+    price: float = 0.0
+
+
+class TeamOffer(Struct, frozen=True, array_like=True):
+    """All the room offered to one team in one go."""
+
+    team: str
+    slots: tuple[SlotOffer, ...]
+
+
+class Offer(Struct, frozen=True):
+    """Leader to owner: place your queues on this room."""
+
+    term: int
+    teams: tuple[TeamOffer, ...]
+
+
+class OfferAnswer(Struct, frozen=True):
+    """Owner to leader: the store revision by which every placing made of it is visible."""
+
+    revision: int
+    placed: int
+
+
+class Outcome(Struct, frozen=True, array_like=True):
+    """What became of an attempt, proven by a worker's report or by the cloud."""
+
+    task: str
+    attempt: int
+    machine: str
+    fate: Fate
+
+
+class Outcomes(Struct, frozen=True):
+    """Leader to owner: write these into the job records."""
+
+    term: int
+    outcomes: tuple[Outcome, ...]
--- /dev/null
+++ b/mosswalk/wire/workers.py
@@ -0,0 +1,65 @@
+"""Messages between workers and controllers."""
+
+from __future__ import annotations
+
+from typing import Literal
+
+from msgspec import Struct, field
+
+TaskPhase = Literal["pulling", "running", "saving", "exited"]
+Cause = Literal["done", "stopped", "error", "full", "in_use", "no_such"]
+
+
+class TaskReport(Struct, frozen=True):
+    """One task attempt as its worker sees it."""
+
+    task: str = field(name="piece")
+    attempt: int = field(name="try")
+    phase: TaskPhase
+    cause: str | None = None
+    saved: bool = False
+
+
+class Report(Struct, frozen=True):
+    """A worker's report; also the answer to /orders and /show."""
+
+    machine: str = field(name="host")
+    address: str = field(name="addr")
+    type: str = field(name="build")
+    zone: str = field(name="yard")
+    tenure: int
+    tick: int
+    epoch: int
+    spot: bool = field(name="reclaimable", default=False)
+    notice_s: float | None = field(name="warning_s", default=None)
+    tasks: tuple[TaskReport, ...] = field(name="pieces", default=())
+
+
+class Order(Struct, frozen=True, omit_defaults=True):
+    """A command to a worker."""
+
+    op: Literal["run", "kill", "reap"] = field(name="verb")
+    task: str = field(name="piece")
+    attempt: int = field(name="try")
+    grace_s: float | None = field(name="drain_s", default=None)
+
+
+class ReportAnswer(Struct, frozen=True):
+    """The 200 answer to a report."""
+
+    epoch: int
+    orders: tuple[Order, ...]
+
+
+class DirectOrders(Struct, frozen=True):
+    """The body of POST /orders."""
+
+    epoch: int
+    tenure: int
+    orders: tuple[Order, ...]
+
+
+class Redirect(Struct, frozen=True, omit_defaults=True):
+    """The 421 answer: which controller takes reports, if known."""
+
+    steward: str | None = None
