--- a/mosswalk/api/jobs.py
+++ b/mosswalk/api/jobs.py
@@ -161,6 +161,7 @@
             # An accepted job stays known, however a later submission of it looks.
             job_id = peek_id(body)
             known = await self._known(job_id) if job_id is not None else None
+            log.info("malformed submission of %s: %s", job_id, error)
             return known or _error(400, str(error))
         if not self._types:
             known = await self._known(spec.id)
