--- /dev/null
+++ b/mosswalk/cli/client.py
@@ -0,0 +1,69 @@
+"""Submit, status and withdraw, as a user's command."""
+
+from __future__ import annotations
+
+import argparse
+import sys
+from pathlib import Path
+
+import aiohttp
+
+from mosswalk.cli import EXIT_OK, EXIT_REFUSED, EXIT_UNAVAILABLE, EXIT_USAGE
+from mosswalk.config import split_address
+from mosswalk.wire.users import JOB_ID, MAX_BODY_BYTES, InvalidJobError, decode_job
+
+_TIMEOUT_S = 6.0
+
+
+class _CommandError(Exception):
+    """The command can't be carried out as it was given."""
+
+
+def _request(options: argparse.Namespace) -> tuple[str, str, bytes | None]:
+    if options.command == "submit":
+        try:
+            if options.file == "-":
+                body = sys.stdin.buffer.read(MAX_BODY_BYTES + 1)
+            else:
+                body = Path(options.file).read_bytes()
+        except OSError as error:
+            raise _CommandError(f"{options.file}: {error.strerror}") from None
+        try:
+            # Told here, with the field's name, before anything is sent.
+            decode_job(body)
+        except InvalidJobError as error:
+            raise _CommandError(f"{options.file}: {error}") from None
+        return "POST", "/api/jobs", body
+    if not JOB_ID.match(options.job):
+        raise _CommandError(f"{options.job}: a job's id looks like j-000412")
+    if options.command == "status":
+        return "GET", f"/api/jobs/{options.job}", None
+    return "POST", f"/api/jobs/{options.job}/withdraw", b""
+
+
+async def run(options: argparse.Namespace) -> int:
+    """Carry out a user's command; its exit code."""
+    try:
+        split_address(options.server)
+        method, path, body = _request(options)
+    except (ValueError, _CommandError) as error:
+        print(f"mosswalk: {error}", file=sys.stderr)
+        return EXIT_USAGE
+    timeout = aiohttp.ClientTimeout(total=_TIMEOUT_S)
+    try:
+        async with (
+            aiohttp.ClientSession(timeout=timeout) as session,
+            session.request(method, f"http://{options.server}{path}", data=body) as response,
+        ):
+            text = (await response.read()).decode(errors="replace").strip()
+            status, retry = response.status, response.headers.get("Retry-After")
+    except (aiohttp.ClientError, TimeoutError, OSError) as error:
+        reason = str(error) or "no answer in time"
+        print(f"mosswalk: {options.server}: {reason}", file=sys.stderr)
+        return EXIT_UNAVAILABLE
+    if status in (200, 201):
+        print(text)
+        return EXIT_OK
+    again = f" (try again after {retry} s)" if retry else ""
+    print(f"mosswalk: status {status}: {text}{again}", file=sys.stderr)
+    return EXIT_REFUSED if status in (400, 404, 413, 422) else EXIT_UNAVAILABLE
--- a/mosswalk/fleet/orders.py
+++ b/mosswalk/fleet/orders.py
@@ -59,7 +59,7 @@
         attempt = attempts.get(key)
         if task.phase == "exited":
             if attempt is not None:
-                fate = _FATES.get(task.cause or "", "error")
+                fate = _FATES.get(task.cause or "", "refused")
                 result.outcomes.append(Outcome(task.task, task.attempt, machine.name, fate))
             elif not machine.may_run_late((task.task, task.attempt), epoch):
                 # Reaped only once the record shows the outcome, and only if no start of ours
--- a/mosswalk/fleet/steward.py
+++ b/mosswalk/fleet/steward.py
@@ -193,7 +193,6 @@
         board.on_attempt.append(self._attempt_appeared)
         mirror.after_batch(self._poke)
         leadership.on_term.append(lambda: self.tell(TermBegan()))
-        owner.zone_of = self.book.zone_of
 
     # Messages.
 
@@ -618,7 +617,18 @@
             if node is not None:
                 by_node.setdefault(node, {}).setdefault(team, []).append(slot)
         for node, teams in by_node.items():
-            offer = Offer(term.term, tuple(TeamOffer(t, tuple(s)) for t, s in teams.items()))
+            bound = {
+                attempt.machine
+                for team in teams
+                for job in jobs[team]
+                if job.spec.spread or job.spec.one_zone
+                for attempt in job.live()
+            }
+            offer = Offer(
+                term.term,
+                tuple(TeamOffer(t, tuple(s)) for t, s in teams.items()),
+                {machine: zones[machine] for machine in bound if machine in zones},
+            )
             flat = [slot for group in teams.values() for slot in group]
             self._reservations.append(_Reservation(node, tuple(teams), flat, now_us + _RESERVED_US))
             self.spawn(self._send_offer(node, offer))
--- a/mosswalk/placement/owner.py
+++ b/mosswalk/placement/owner.py
@@ -10,7 +10,6 @@
 import asyncio
 import logging
 import random
-from collections.abc import Callable
 from dataclasses import dataclass
 
 from mosswalk.actors import SECOND_US, Clock
@@ -61,7 +60,6 @@
         self._wake = asyncio.Event()
         self._avoid: dict[str, set[str]] = {}
         self._holds: dict[str, _Hold] = {}
-        self.zone_of: Callable[[], dict[str, str]] = dict
 
     # What others tell it.
 
@@ -115,7 +113,9 @@
                 drafts[job.id] = Draft(job, self._ops)
         placed_for: list[tuple[asyncio.Future[OfferAnswer], int]] = []
         usage = usage_by_team(self._board.jobs.values())
-        zones: dict[str, str] = dict(self.zone_of())
+        zones: dict[str, str] = {}
+        for offer, _ in offers:
+            zones.update(offer.zones)
         for offer, future in offers:
             placed = 0
             if offer.term == term.term:
--- a/mosswalk/wire/peers.py
+++ b/mosswalk/wire/peers.py
@@ -36,6 +36,9 @@
 
     term: int
     teams: tuple[TeamOffer, ...]
+    # The zones of machines that attempts of these teams' zone-bound jobs are on: only the
+    # leader knows them, and without them the owner could not place such a job's next task.
+    zones: dict[str, str] = {}
 
 
 class OfferAnswer(Struct, frozen=True):
--- a/mosswalk/wire/workers.py
+++ b/mosswalk/wire/workers.py
@@ -6,8 +6,7 @@
 
 from msgspec import Struct, field
 
-TaskPhase = Literal["pulling", "running", "saving", "exited"]
-Cause = Literal["done", "stopped", "error", "full", "in_use", "no_such"]
+# pulling, running, saving or exited; a phase not known here counts as alive.
 
 
 class TaskReport(Struct, frozen=True):
@@ -15,7 +14,7 @@
 
     task: str = field(name="piece")
     attempt: int = field(name="try")
-    phase: TaskPhase
+    phase: str
     cause: str | None = None
     saved: bool = False
 
--- /dev/null
+++ b/tests/standins.py
@@ -0,0 +1,153 @@
+"""Stand-ins for the outside systems, written from their published protocol."""
+
+from __future__ import annotations
+
+import contextlib
+import json
+from collections import deque
+
+import msgspec
+from msgspec import UNSET, Raw
+
+from mosswalk.store.client import ConflictError, NoLeaseError, RefusedError, UnknownOutcomeError
+from mosswalk.wire import state as wire
+from mosswalk.wire.cloud import MachineType
+from mosswalk.wire.users import JobSpec
+
+
+class FakeClock:
+    """Time moves only when a test says so."""
+
+    def __init__(self) -> None:
+        self.us = 1_000_000
+
+    def now_us(self) -> int:
+        return self.us
+
+    def wall_us(self) -> int:
+        return self.us
+
+
+class Store:
+    """The state service's rules, without a network."""
+
+    def __init__(self) -> None:
+        self.revision = 0
+        self.rows: dict[str, tuple[bytes, int, int | None]] = {}
+        self.events: list[dict] = []
+        self.leases: set[int] = set()
+        self.next_lease = 1
+
+    def commit(self, transaction: wire.Transaction) -> int:
+        writes = list(transaction.writes)
+        failed = tuple(
+            g.key for g in transaction.guards
+            if (self.rows[g.key][1] if g.key in self.rows else 0) != g.version
+        )  # fmt: skip
+        for write in writes:
+            if write.lease is not UNSET and write.lease not in self.leases:
+                raise NoLeaseError
+        if failed:
+            raise ConflictError(failed)
+        if writes:
+            self.revision += 1
+        for write in writes:
+            if write.delete is not UNSET:
+                self._delete(write.delete)
+            else:
+                lease = None if write.lease is UNSET else write.lease
+                self.rows[write.key] = (bytes(write.value), self.revision, lease)
+                self.events.append(
+                    {"write": write.key, "v": json.loads(bytes(write.value)),
+                     "stamp": self.revision}
+                )  # fmt: skip
+        return self.revision
+
+    def _delete(self, key: str) -> None:
+        if self.rows.pop(key, None) is not None:
+            self.events.append({"delete": key, "stamp": self.revision})
+
+    def grant(self) -> int:
+        lease, self.next_lease = self.next_lease, self.next_lease + 1
+        self.leases.add(lease)
+        return lease
+
+    def end_lease(self, lease: int) -> None:
+        self.leases.discard(lease)
+        gone = [k for k, row in self.rows.items() if row[2] == lease]
+        if gone:
+            self.revision += 1
+        for key in gone:
+            self._delete(key)
+
+
+class FakeClient:
+    """A state client whose calls fail, or are carried out late, as a test has planned.
+
+    Each entry of ``plan`` is used by one commit: ok, refused, lost (never carried out), late
+    (carried out when the test calls ``deliver``) or blind (carried out, answer lost).
+    """
+
+    def __init__(self, store: Store) -> None:
+        self.store = store
+        self.plan: deque[str] = deque()
+        self.held: list[wire.Transaction] = []
+        self.commits = 0
+
+    async def commit(self, transaction: wire.Transaction, timeout_s: float = 0) -> int:
+        self.commits += 1
+        fate = self.plan.popleft() if self.plan else "ok"
+        if fate == "refused":
+            raise RefusedError("planned")
+        if fate == "lost":
+            raise UnknownOutcomeError("planned")
+        if fate == "late":
+            self.held.append(transaction)
+            raise UnknownOutcomeError("planned")
+        revision = self.store.commit(transaction)
+        if fate == "blind":
+            raise UnknownOutcomeError("planned")
+        return revision
+
+    def deliver(self) -> None:
+        held, self.held = self.held, []
+        for transaction in held:
+            with contextlib.suppress(ConflictError):
+                self.store.commit(transaction)
+
+    async def get(self, key: str) -> wire.Row | None:
+        row = self.store.rows.get(key)
+        return wire.Row(key, Raw(row[0]), row[1]) if row else None
+
+    async def read_range(self, prefix: str, after: str | None, limit: int = 500) -> wire.RowPage:
+        keys = sorted(k for k in self.store.rows if k.startswith(prefix) and k > (after or ""))
+        rows = tuple(wire.Row(k, Raw(self.store.rows[k][0]), self.store.rows[k][1])
+                     for k in keys[:limit])  # fmt: skip
+        return wire.RowPage(rows, self.store.revision, len(keys) > limit)
+
+    async def watch(self, prefix: str, after: int, hold_ms: int) -> wire.Events:
+        body = {"ledger": self.store.revision, "events": [
+            e for e in self.store.events
+            if e["stamp"] > after and (e.get("write") or e.get("delete", "")).startswith(prefix)
+        ]}  # fmt: skip
+        return msgspec.json.decode(json.dumps(body).encode(), type=wire.Events)
+
+
+def spec(job_id: str = "j-000001", **changes: object) -> JobSpec:
+    """A job that is easy to place."""
+    fields: dict = {
+        "id": job_id, "job_class": "batch", "team": "red", "kind": "array",
+        "priority": "standard", "tasks": 4, "cpus": 1.0, "gpus": 0.0, "memory_gb": 1.0,
+        "image": "img", "image_gb": 1.0, "one_zone": False, "spread": False, "spot": True,
+        "estimate_s": 30.0, "checkpoint_s": 0.0, "save_s": 0.0,
+    }  # fmt: skip
+    return JobSpec(**{**fields, **changes})
+
+
+def shape(name: str = "small", **changes: object) -> MachineType:
+    """A machine type."""
+    fields: dict = {
+        "cpus": 4.0, "gpus": 0.0, "memory_gb": 16.0, "cache_gb": 20.0, "fetch_gb_per_s": 1.0,
+        "price": 0.4, "spot_price": 0.1, "boot_s": 10.0, "zones": ("a", "b"),
+    }  # fmt: skip
+    return MachineType(name, **{**fields, **changes})
--- /dev/null
+++ b/tests/test_cluster.py
@@ -0,0 +1,195 @@
+"""Three controllers on loopback against the stand-ins: the whole path, and its failures."""
+
+import asyncio
+import json
+from contextlib import AsyncExitStack
+
+import aiohttp
+import msgspec
+
+from mosswalk.config import Team
+from tests.standins import spec
+from tests.world import World
+
+
+class Users:
+    """Talks to the controllers as users do."""
+
+    def __init__(self, world):
+        self.world = world
+
+    async def call(self, method, path, body=None, node=None):
+        address = self.world.addresses[node or next(iter(self.world.controllers))]
+        data = body if isinstance(body, bytes) or body is None else json.dumps(body).encode()
+        async with self.world.session.request(
+            method, f"http://{address}{path}", data=data, timeout=aiohttp.ClientTimeout(total=6)
+        ) as response:
+            raw = await response.read()
+            self.headers = response.headers
+            return response.status, msgspec.json.decode(raw) if raw.startswith(b"{") else raw
+
+    async def submit(self, job, node=None):
+        return await self.call("POST", "/api/jobs", msgspec.json.encode(job), node)
+
+    async def eventually(self, method, path, want, within_s=15.0, body=None):
+        for _ in range(int(within_s / 0.05)):
+            try:
+                answer = await self.call(method, path, body)
+            except (aiohttp.ClientError, TimeoutError):
+                answer = None
+            if answer and want(*answer):
+                return answer
+            await asyncio.sleep(0.05)
+        raise AssertionError(f"{path}: {answer}")
+
+    async def done(self, job_id, within_s=15.0):
+        return await self.eventually(
+            "GET", f"/api/jobs/{job_id}", lambda s, b: s == 200 and b["phase"] == "done", within_s
+        )
+
+
+def cluster(test, **options):
+    async def run():
+        async with AsyncExitStack() as stack:
+            world = World(**options)
+            await world.start(stack)
+            users = Users(world)
+            await users.eventually("GET", "/healthz", lambda s, b: s == 200)
+            await users.eventually(
+                "POST", "/api/jobs", lambda s, b: s == 422,
+                body=msgspec.json.encode(spec("j-000999", team="none")),
+            )  # fmt: skip
+            await test(world, users)
+            assert world.broken == []
+
+    asyncio.run(asyncio.wait_for(run(), 60))
+
+
+def test_every_status_a_user_can_get():
+    async def test(world, users):
+        assert await users.submit(spec()) == (201, {"ref": "j-000001", "phase": "pending"})
+        status, _ = await users.submit(spec(), "moss-1")
+        assert status == 200
+        # An accepted job is known however it is sent again.
+        assert (await users.call("POST", "/api/jobs", {"ref": "j-000001", "pieces": -1}))[0] == 200
+        assert (await users.submit(spec(team="nobody")))[0] == 200
+        assert (await users.call("POST", "/api/jobs", b"[1"))[0] == 400
+        assert (await users.call("POST", "/api/jobs", {"ref": "j-000002"}))[0] == 400
+        assert (await users.submit(spec("j-000003", cpus=64.0)))[0] == 422
+        assert (await users.submit(spec("j-000003", team="nobody")))[0] == 422
+        status, body = await users.call("POST", "/api/jobs", b" " * 70_000)
+        assert status == 413 and body["error"]
+        assert (await users.call("GET", "/api/jobs/j-404404"))[0] == 404
+        assert (await users.call("POST", "/api/jobs/j-404404/withdraw"))[0] == 404
+        assert (await users.call("GET", "/api/jobs/%2e%2e%2fterm"))[0] == 404
+        assert (await users.call("GET", "/nowhere"))[0] == 404
+        assert (await users.call("GET", "/api/jobs"))[0] == 405
+        assert (await users.call("GET", "/metrics"))[0] == 200
+        _, body = await users.done("j-000001")
+        assert body == {"ref": "j-000001", "phase": "done", "done": 4, "running": 0}
+        assert (await users.submit(spec()))[1]["phase"] == "done"
+        assert (await users.call("POST", "/api/jobs/j-000001/withdraw"))[1]["phase"] == "done"
+
+    cluster(test)
+
+
+def test_a_withdrawn_service_is_gone_everywhere_and_stays_withdrawn():
+    async def test(world, users):
+        world.services.add("j-000005")
+        await users.submit(spec("j-000005", kind="daemon", tasks=3, spread=True, spot=False))
+        await users.eventually(
+            "GET", "/api/jobs/j-000005", lambda s, b: s == 200 and len(world.on) == 3
+        )
+        status, body = await users.call("POST", "/api/jobs/j-000005/withdraw", node="moss-2")
+        assert (status, body["phase"]) == (200, "withdrawn")
+        for _ in range(100):
+            if not world.on:
+                break
+            await asyncio.sleep(0.05)
+        assert not world.on
+        assert (await users.submit(spec("j-000005", kind="daemon")))[1]["phase"] == "withdrawn"
+
+    cluster(test)
+
+
+def test_jobs_outlive_the_leader_and_then_every_controller():
+    async def test(world, users):
+        world.task_s = 0.8
+        for i in range(4):
+            await users.submit(spec(f"j-00001{i}", tasks=6, team="red" if i % 2 else "blue"))
+        await asyncio.sleep(1.2)
+        leader = world.leader()
+        await world.kill_controller(leader)
+        for i in range(4):
+            await users.done(f"j-00001{i}")
+        await users.submit(spec("j-000020", tasks=5))
+        for name in list(world.controllers):
+            await world.kill_controller(name)
+        for name in world.addresses:
+            await world.start_controller(name)
+        await users.done("j-000020", 25.0)
+        await users.done("j-000010")
+
+    cluster(test)
+
+
+def test_an_outage_of_the_state_service_is_told_at_once_and_survived():
+    async def test(world, users):
+        world.services.add("j-000030")
+        await users.submit(spec("j-000030", kind="daemon", tasks=2, spot=False))
+        await users.eventually("GET", "/healthz", lambda s, b: len(world.on) == 2)
+        where = dict(world.on)
+        world.state.down = True
+        await asyncio.sleep(0.1)
+        begun = asyncio.get_running_loop().time()
+        status, _ = await users.submit(spec("j-000031"))
+        assert status == 503 and int(users.headers["Retry-After"]) >= 1
+        assert asyncio.get_running_loop().time() - begun < 1.0
+        assert (await users.call("GET", "/api/jobs/j-000030"))[0] == 503
+        await asyncio.sleep(1.0)
+        world.state.down = False
+        await users.eventually(
+            "POST", "/api/jobs", lambda s, b: s == 201, body=msgspec.json.encode(spec("j-000031"))
+        )
+        await users.done("j-000031")
+        assert world.on.items() >= where.items()
+
+    cluster(test)
+
+
+def test_dead_sick_and_never_booting_machines_are_replaced():
+    async def test(world, users):
+        world.services.add("j-000040")
+        world.never_boots.add(0)
+        await users.submit(spec("j-000040", kind="daemon", tasks=1, spot=False))
+        await users.eventually("GET", "/healthz", lambda s, b: len(world.on) == 1)
+        first = world.on["j-000040/0"]
+        world.kill_machine(first)
+        await users.eventually(
+            "GET", "/healthz", lambda s, b: world.on.get("j-000040/0", first) != first, 20.0
+        )
+        world.sick.add(world.on["j-000040/0"])
+        await users.submit(spec("j-000041", tasks=6))
+        await users.done("j-000041", 20.0)
+
+    cluster(test)
+
+
+def test_teams_keep_to_their_limits_and_a_job_beyond_one_chunk_is_run():
+    async def test(world, users):
+        world.task_s = 0.05
+        await users.submit(spec("j-000050", tasks=300, cpus=0.25, memory_gb=0.1))
+        await users.submit(spec("j-000051", tasks=8, team="blue", cpus=2.0))
+        most = 0
+        for _ in range(400):
+            on = [t for t in world.on if t.startswith("j-000051")]
+            most = max(most, len(on))
+            _, body = await users.call("GET", "/api/jobs/j-000050")
+            if body["phase"] == "done":
+                break
+            await asyncio.sleep(0.05)
+        assert body["done"] == 300
+        await users.done("j-000051")
+        assert 1 <= most <= 2
+
+    cluster(test, teams=(Team("red"), Team("blue", cpus_max=4.0)))
--- /dev/null
+++ b/tests/test_factory.py
@@ -0,0 +1,187 @@
+import math
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from mosswalk.config.operator import FactoryTuning
+from mosswalk.factory.load import Dwell, load_ratio, per_machine, weight
+from mosswalk.factory.loop import Factory, GiveBack, MachineView, Rent, View, WaitingTasks
+from mosswalk.factory.pareto import (
+    PoolFigures,
+    affordable,
+    dominates,
+    evaluate,
+    optimize,
+    pareto_front,
+)
+from mosswalk.jobs.state import Job, new_record
+from mosswalk.placement.rooms import ZoneRule
+from tests.standins import shape, spec
+
+S = 1_000_000
+figures = st.builds(
+    PoolFigures,
+    st.tuples(st.just("t"), st.text("abcdef", min_size=1, max_size=3), st.booleans()),
+    st.floats(0.01, 10), st.floats(0, 1e8), st.floats(1, 1e8), st.floats(0.5, 2),
+)  # fmt: skip
+
+
+def test_the_papers_time_and_cost_by_a_worked_example():
+    a = PoolFigures(("t", "a", False), price=2.0, queue_us=10.0, boot_us=30.0)
+    b = PoolFigures(("t", "b", False), price=1.0, queue_us=20.0, boot_us=60.0)
+    action = evaluate([a, b], walltime_us=100.0)
+    # k is a: 40 against 80. c = 2 * (30 + 100) + 1 * 60; r = 20 * (1 + exp(1 - 1.5)) + 100.
+    assert action.cost == pytest.approx(320.0)
+    assert action.time_us == pytest.approx(20 * (1 + math.exp(-0.5)) + 100)
+    # A pool alone: the gain is 1 and r = q + b + phi e.
+    assert evaluate([b], 100.0).time_us == pytest.approx(180.0)
+
+
+@given(st.lists(figures, min_size=1, max_size=5, unique_by=lambda f: f.pool), st.floats(0, 1e9))
+def test_no_member_of_the_front_is_dominated_and_none_is_missing(pools, walltime):
+    front = pareto_front(pools, walltime)
+    assert front
+    assert not any(dominates(a, b) for a in front for b in front)
+    for pool in pools:
+        alone = evaluate([pool], walltime)
+        assert any(
+            dominates(a, alone) or (a.time_us, a.cost) == (alone.time_us, alone.cost) for a in front
+        )
+
+
+@given(st.lists(figures, min_size=1, max_size=4, unique_by=lambda f: f.pool))
+def test_lambda_moves_from_the_cheapest_to_the_fastest(pools):
+    front = pareto_front(pools, 5e6)
+    assert optimize(front, 1.0).time_us == min(a.time_us for a in front)
+    assert optimize(front, 0.0).cost == min(a.cost for a in front)
+
+
+def test_short_of_calls_the_set_keeps_its_best_pools():
+    pools = [PoolFigures(("t", z, False), 1.0, q, 1.0) for z, q in (("a", 9.0), ("b", 2.0))]
+    kept = affordable(evaluate(pools, 1.0), 1)
+    assert [p.pool[1] for p in kept] == ["b"]
+    assert affordable(evaluate(pools, 1.0), 0) == ()
+
+
+def test_the_dwell_rule_wants_the_ratio_to_stay():
+    dwell = Dwell()
+    assert not dwell.holds(True, 0, 5 * S)
+    assert not dwell.holds(True, 4 * S, 5 * S)
+    assert not dwell.holds(False, 4 * S + 1, 5 * S)
+    assert not dwell.holds(True, 5 * S, 5 * S)
+    assert dwell.holds(True, 10 * S, 5 * S)
+    assert load_ratio(0.0, 0) == 0.0 and load_ratio(0.1, 0) == math.inf
+
+
+def test_a_task_weighs_by_its_scarcest_amount():
+    job = Job(new_record(spec(cpus=1.0, memory_gb=8.0), 0, 8), 1)
+    assert weight(job, shape()) == pytest.approx(0.5)
+    assert per_machine(job, shape()) == 2
+
+
+def waiting(count, **changes):
+    job = Job(new_record(spec(tasks=count, **changes), 0, 256), 1)
+    return WaitingTasks(job, count, ZoneRule(False, count))
+
+
+def view(now_us, machines=(), tasks=(), calls=10):
+    return View(now_us, {"small": shape()}, list(machines), list(tasks), calls)
+
+
+def machine(name, zone="a", spot=False, phase="up", idle_us=0, load=0.0, since_us=0):
+    return MachineView(name, ("small", zone, spot), phase, since_us, 0, True,
+                       idle_us if phase == "up" and not load else None, load)  # fmt: skip
+
+
+def test_nothing_is_rented_before_the_dwell_and_enough_after_it():
+    factory = Factory(FactoryTuning(high_dwell_s=5.0, most_rented=3))
+    tasks = [waiting(8, cpus=1.0)]
+    assert factory.decide(view(0, tasks=tasks)) == []
+    rents = factory.decide(view(6 * S, tasks=tasks))
+    # Eight tasks of one core need two machines of four.
+    assert len(rents) == 2 and all(isinstance(r, Rent) for r in rents)
+
+
+def test_machines_on_their_way_count_as_slots():
+    factory = Factory(FactoryTuning(high_dwell_s=0.0))
+    coming = [machine(f"vm-{i}", phase="booting") for i in range(2)]
+    assert factory.decide(view(6 * S, coming, [waiting(8, cpus=1.0)])) == []
+
+
+def test_steady_work_is_never_rented_spot_machines():
+    factory = Factory(FactoryTuning(high_dwell_s=0.0))
+    rents = factory.decide(view(0, tasks=[waiting(8, spot=False)]))
+    assert rents and all(not pool[2] for r in rents for pool in r.pools)
+
+
+def test_a_pool_at_its_cap_or_refusing_is_left_alone():
+    factory = Factory(FactoryTuning(high_dwell_s=0.0, pool_cap=1, weight_of_time=0.0))
+    full = [machine("vm-1", "a", False, load=1.0), machine("vm-2", "a", True, load=1.0)]
+    factory.refused(("small", "b", True), 0)
+    (rent,) = factory.decide(view(1 * S, full, [waiting(1)]))
+    assert rent.pools == (("small", "b", False),)
+
+
+def test_the_losers_of_a_replicated_rent_are_returned_in_the_papers_order():
+    factory = Factory(FactoryTuning(high_dwell_s=0.0, weight_of_time=1.0))
+    rent = factory.decide(view(0, tasks=[waiting(1)]))[0]
+    assert len(rent.pools) > 1
+    first, *others = rent.pools
+    machines = [MachineView("vm-0", first, "up", 9, 0, True, None, 0.0)]
+    for i, pool in enumerate(others):
+        machines += [
+            MachineView(f"vm-{i}-idle", pool, "up", 1, 0, True, 1, 0.0),
+            MachineView(f"vm-{i}-old", pool, "booting", 2, 0, True, None, 0.0),
+            MachineView(f"vm-{i}-new", pool, "booting", 3, 0, True, None, 0.0),
+        ]
+    gone = factory.group_booted(rent.group, first, view(9 * S, machines))
+    assert {g.machine for g in gone} == {f"vm-{i}-new" for i in range(len(others))}
+    # The group is settled: a second copy that boots loses nothing more.
+    assert factory.group_booted(rent.group, others[0], view(9 * S, machines)) == []
+
+
+def test_idle_machines_go_longest_idle_first_and_the_last_one_stays_under_load():
+    factory = Factory(FactoryTuning(low_dwell_s=0.0, idle_keep_s=1.0, most_returned=9))
+    late = 100 * S
+    machines = [machine("vm-1", idle_us=20 * S), machine("vm-2", idle_us=10 * S)]
+    gone = factory.decide(view(late, [*machines, machine("vm-3", load=0.1)]))
+    assert [g.machine for g in gone] == ["vm-2", "vm-1"]
+    assert all(isinstance(g, GiveBack) for g in gone)
+    busy = machine("vm-1", load=0.0, idle_us=10 * S)
+    busy.load = 0.0
+    only = Factory(FactoryTuning(low_dwell_s=0.0, idle_keep_s=1.0))
+    assert [g.machine for g in only.decide(view(late, [busy]))] == ["vm-1"]
+
+
+def test_nothing_is_given_back_before_it_would_save_money():
+    factory = Factory(FactoryTuning(low_dwell_s=0.0, idle_keep_s=1.0))
+    assert factory.decide(view(30 * S, [machine("vm-1")])) == []
+
+
+@given(
+    st.lists(st.tuples(st.integers(1, 40), st.booleans(), st.sampled_from(["a", "b", None])),
+             max_size=6),
+    st.lists(st.tuples(st.sampled_from("ab"), st.booleans(),
+                       st.sampled_from(["requested", "booting", "up"]), st.floats(0, 1)),
+             max_size=12),
+    st.integers(0, 12),
+)  # fmt: skip
+def test_whatever_it_sees_it_keeps_to_calls_caps_and_kinds(tasks, rows, calls):
+    tuning = FactoryTuning(high_dwell_s=0.0, low_dwell_s=0.0, idle_keep_s=0.0, pool_cap=4)
+    factory = Factory(tuning)
+    machines = [
+        machine(f"vm-{i}", zone, spot, phase, 0, load if phase == "up" else 0.0)
+        for i, (zone, spot, phase, load) in enumerate(rows)
+    ]
+    pending = [waiting(n, spot=spot, zone=zone) for n, spot, zone in tasks]
+    decisions = factory.decide(view(200 * S, machines, pending, calls))
+    rented = [pool for d in decisions if isinstance(d, Rent) for pool in d.pools]
+    assert len(rented) <= calls
+    for pool in set(rented):
+        have = sum(1 for m in machines if m.pool == pool)
+        assert have + rented.count(pool) <= 4
+    if not any(t.job.spec.spot for t in pending):
+        assert not any(pool[2] for pool in rented)
+    busy = {m.name for m in machines if m.load > 0}
+    assert not busy & {d.machine for d in decisions if isinstance(d, GiveBack)}
--- /dev/null
+++ b/tests/test_placement.py
@@ -0,0 +1,151 @@
+from hypothesis import given
+from hypothesis import strategies as st
+
+from mosswalk.config import Team
+from mosswalk.jobs.state import Draft, Job, new_record
+from mosswalk.leadership.terms import assign_teams, needs_new_term, next_term
+from mosswalk.placement.preemption import Victim, choose_victims
+from mosswalk.placement.queues import TeamQueue, Usage, serve_in_turn
+from mosswalk.placement.rooms import Room, zone_rule
+from tests.standins import spec
+
+
+def job(job_id="j-1", at_us=0, live=(), **changes):
+    made = Job(new_record(spec(job_id, **changes), at_us, 256), 1)
+    draft = Draft(made, 16)
+    for index, machine in enumerate(live):
+        draft.place(index, machine, 1, 1)
+    record = draft.record
+    from msgspec import structs
+
+    return Job(structs.replace(record, tasks=draft._tasks(0)), 2)
+
+
+def room(name="vm-1", cpus=4000, zone="a", spot=False, **changes):
+    return Room(name, "small", zone, spot, 1, cpus, 0, 16_000, **changes)
+
+
+def queue(team, jobs, usage=None, zones=None):
+    return TeamQueue(team, jobs, usage or Usage(), zones or {}, {}, {})
+
+
+@given(
+    st.lists(st.tuples(st.integers(1, 9), st.sampled_from([0.5, 1.0, 3.0]), st.booleans(),
+                       st.booleans(), st.booleans()), max_size=6),
+    st.lists(st.tuples(st.integers(0, 16), st.sampled_from("abc"), st.booleans()), max_size=8),
+    st.sampled_from([0.0, 2.0, 7.5]), st.integers(0, 4),
+)  # fmt: skip
+def test_no_placing_breaks_a_limit_a_zone_rule_or_a_machine(jobs, rooms, limit, used):
+    made = [
+        job(f"j-{i}", tasks=n, cpus=c, one_zone=one, spread=spread and not one, spot=spot)
+        for i, (n, c, one, spread, spot) in enumerate(jobs)
+    ]
+    places = [room(f"vm-{i}", c * 1000, z, s) for i, (c, z, s) in enumerate(rooms)]
+    before = {p.machine: p.cpus for p in places}
+    got = []
+    turn = queue(Team("red", cpus_max=limit), made, Usage(used * 1000))
+    while (placing := turn.place_one(places)) is not None:
+        got.append(placing)
+    assert len({(p.job.id, p.index) for p in got}) == len(got)
+    if limit and got:
+        assert used * 1000 + sum(p.job.cpus for p in got) <= limit * 1000
+    for place in places:
+        took = sum(p.job.cpus for p in got if p.room is place)
+        assert place.cpus == before[place.machine] - took >= 0
+    for one in made:
+        zones = [p.room.zone for p in got if p.job is one]
+        if one.spec.one_zone:
+            assert len(set(zones)) <= 1
+        if one.spec.spread:
+            assert all(zones.count(z) <= -(-one.spec.tasks // 2) for z in zones)
+        if not one.spec.spot:
+            assert not any(p.room.spot for p in got if p.job is one)
+
+
+def test_live_attempts_count_for_zone_rules_and_an_unknown_zone_blocks():
+    split = job(tasks=3, spread=True, live=["vm-8", "vm-9"])
+    zones = {"vm-8": "a", "vm-9": "a"}
+    assert queue(Team("red"), [split], zones=zones).place_one([room(zone="a")]) is None
+    placing = queue(Team("red"), [split], zones=zones).place_one([room(zone="b")])
+    assert placing is not None and placing.index == 2
+    assert zone_rule(split, {"vm-8": "a"}) is None
+    assert queue(Team("red"), [split], zones={"vm-8": "a"}).place_one([room(zone="b")]) is None
+
+
+def test_the_queue_serves_priority_then_deadline_then_arrival():
+    jobs = [
+        job("j-1", 5, tasks=1), job("j-2", 9, tasks=1, deadline_s=10.0),
+        job("j-3", 1, tasks=1), job("j-4", 99, tasks=1, priority="prod"),
+        job("j-5", 0, tasks=1, priority="idle"),
+    ]  # fmt: skip
+    turn = queue(Team("red"), jobs)
+    places = [room(cpus=9000)]
+    order = [p.job.id for p in iter(lambda: turn.place_one(places), None)]
+    assert order == ["j-4", "j-2", "j-3", "j-1", "j-5"]
+
+
+def test_an_image_at_hand_and_cheap_room_are_preferred_and_a_bad_machine_avoided():
+    places = [room("vm-1"), room("vm-2", images=frozenset({"img"})), room("vm-3", spot=True)]
+    assert queue(Team("red"), [job(tasks=1)]).place_one(places).room.machine == "vm-2"
+    assert queue(Team("red"), [job(tasks=1)]).place_one([places[0], places[2]]).room.spot
+    avoiding = TeamQueue(Team("red"), [job(tasks=1)], Usage(), {}, {"j-1": {"vm-1"}}, {})
+    assert avoiding.place_one([room("vm-1")]) is None
+
+
+def test_teams_are_served_by_guarantee_and_then_by_shares():
+    teams = [Team("red", cpus=2.0), Team("blue"), Team("green")]
+    queues = [queue(t, [job(f"j-{i}", tasks=50, team=t.name)]) for i, t in enumerate(teams)]
+    shares = {"red": 1.0, "blue": 1.0, "green": 3.0}
+    order = [p.job.spec.team for p in serve_in_turn(queues, [room(cpus=14_000)], shares)]
+    assert order[:2] == ["red", "red"]
+    assert (order.count("red"), order.count("blue"), order.count("green")) == (3, 3, 8)
+
+
+def victims(*jobs):
+    return {"vm-1": [Victim(j, a) for j in jobs for a in j.live()]}
+
+
+def test_preemption_takes_the_least_urgent_and_no_more_than_needed():
+    idle = job("j-7", tasks=2, priority="idle", live=["vm-1", "vm-1"])
+    normal = job("j-8", tasks=2, live=["vm-1", "vm-1"])
+    urgent = job("j-9", tasks=1, priority="prod")
+    teams = {"red": Team("red")}
+    got = choose_victims([(urgent, 1)], [room(cpus=0)], victims(normal, idle), teams, {}, {}, 9)
+    assert [v.job.id for v in got] == ["j-7"]
+    # Work of the same priority stays, and so does everything when there is room anyway.
+    same = job("j-6", tasks=1)
+    assert choose_victims([(same, 1)], [room(cpus=0)], victims(normal), teams, {}, {}, 9) == []
+    assert choose_victims([(urgent, 1)], [room()], victims(idle), teams, {}, {}, 9) == []
+
+
+def test_a_guarantee_is_made_good_from_another_teams_surplus_only():
+    teams = {"red": Team("red", cpus=4.0), "blue": Team("blue", cpus=1.0)}
+    surplus = job("j-7", tasks=3, team="blue", live=["vm-1"] * 3)
+    wanted = job("j-9", tasks=4)
+    usage = {"blue": Usage(3000)}
+    got = choose_victims([(wanted, 4)], [room(cpus=0)], victims(surplus), teams, usage, {}, 9)
+    assert len(got) == 2
+
+
+@given(
+    st.sets(st.sampled_from([f"team{i}" for i in range(9)])),
+    st.sets(st.sampled_from("abcd")),
+    st.dictionaries(st.sampled_from([f"team{i}" for i in range(9)]), st.sampled_from("abcd")),
+)
+def test_teams_are_spread_over_live_controllers_and_move_little(teams, alive, before):
+    owners = assign_teams(teams, "a", alive, before)
+    assert set(owners) == teams
+    assert set(owners.values()) <= {*alive, "a"}
+    loads = [list(owners.values()).count(n) for n in {*alive, "a"}]
+    if len(teams) > 1:
+        assert max(loads) - min(loads) <= 1
+    elif teams:
+        assert set(owners.values()) == {"a"}
+    assert assign_teams(teams, "a", alive, owners) == owners
+
+
+def test_a_restarted_controller_means_a_new_and_higher_term():
+    first = next_term(None, "a", {"a": "1", "b": "1"}, ["x", "y"])
+    assert first.term == 1 and not needs_new_term(first, {"a": "1", "b": "1"})
+    assert needs_new_term(first, {"a": "1", "b": "2"}) and needs_new_term(first, {"a": "1"})
+    assert next_term(first, "b", {"b": "2"}, ["x"], above=7).term == 8
--- /dev/null
+++ b/tests/test_wire.py
@@ -0,0 +1,96 @@
+import json
+
+import msgspec
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from mosswalk.wire.peers import Offer, Outcomes, SlotOffer, TeamOffer
+from mosswalk.wire.users import InvalidJobError, JobSpec, decode_job, peek_id
+from mosswalk.wire.workers import Report
+
+amounts = st.floats(0, 1e6, allow_nan=False).map(lambda x: round(x, 3))
+names = st.text(min_size=1, max_size=20)
+jobs = st.builds(
+    JobSpec, id=st.from_regex(r"j-[0-9]{6}", fullmatch=True), job_class=names, team=names,
+    kind=st.sampled_from(["array", "daemon"]),
+    priority=st.sampled_from(["prod", "high", "standard", "idle"]),
+    tasks=st.integers(1, 100_000), cpus=amounts.map(lambda x: x + 0.1), gpus=amounts,
+    memory_gb=amounts, image=names, image_gb=amounts, one_zone=st.booleans(),
+    spread=st.booleans(), spot=st.booleans(), estimate_s=amounts, checkpoint_s=amounts,
+    save_s=amounts, types=st.none() | st.lists(names, max_size=4).map(tuple),
+    zone=st.none() | names, deadline_s=st.none() | amounts.map(lambda x: x + 1),
+)  # fmt: skip
+
+GOOD = {
+    "ref": "j-000412", "lane": "train", "owner": "vision", "shape": "array", "rank": "high",
+    "pieces": 16, "cores": 8.0, "cards": 1, "ram_gb": 64.0, "bundle": "img-07",
+    "image_gb": 6.2, "builds": ["g8"], "yard": None, "same_place": True, "spread": False,
+    "reclaimable": True, "expect_s": 240.0, "savepoint_s": 30.0, "flush_s": 4.0, "due_s": 900.0,
+}  # fmt: skip
+
+
+@given(jobs, st.dictionaries(names.map(lambda n: "x-" + n), st.integers() | names, max_size=3))
+def test_jobs_survive_the_wire_and_unknown_fields_are_ignored(job, unknown):
+    body = json.loads(msgspec.json.encode(job))
+    assert decode_job(json.dumps({**unknown, **body}).encode()) == job
+
+
+def test_the_protocols_example_is_understood_with_its_own_names():
+    job = decode_job(json.dumps(GOOD).encode())
+    assert (job.cpus, job.tasks, job.types, job.deadline_s) == (8.0, 16, ("g8",), 900.0)
+    absent = {k: v for k, v in GOOD.items() if k not in ("builds", "yard", "due_s")}
+    assert decode_job(json.dumps(absent).encode()).types is None
+
+
+@pytest.mark.parametrize("field", [k for k in GOOD if k not in ("builds", "yard", "due_s")])
+def test_a_missing_or_mistyped_field_is_refused(field):
+    missing = {k: v for k, v in GOOD.items() if k != field}
+    for body in (missing, {**GOOD, field: {"a": 1}}, {**GOOD, field: None}):
+        with pytest.raises(InvalidJobError):
+            decode_job(json.dumps(body).encode())
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"cores": 0}, {"cores": -1}, {"ram_gb": -0.1}, {"pieces": 0}, {"pieces": 100_001},
+        {"pieces": 1.5}, {"ref": "j-1/2"}, {"ref": "k-000001"}, {"ref": "j-"}, {"due_s": -5},
+        {"rank": "top"}, {"shape": "ring"}, {"cores": 1e300}, {"reclaimable": 1}, {"owner": ""},
+        {"ref": "j-000001\n"}, {"expect_s": float("nan")}, {"image_gb": float("inf")},
+    ],
+)  # fmt: skip
+def test_senseless_values_are_refused(change):
+    with pytest.raises(InvalidJobError):
+        decode_job(json.dumps({**GOOD, **change}).encode())
+
+
+@given(st.binary(max_size=60) | st.recursive(st.integers() | names, st.lists).map(
+    lambda x: json.dumps(x).encode()))  # fmt: skip
+def test_garbage_is_refused_and_never_anything_worse(body):
+    with pytest.raises(InvalidJobError):
+        decode_job(body)
+    assert peek_id(body) is None
+
+
+def test_the_id_of_a_malformed_submission_is_found():
+    assert peek_id(b'{"ref":"j-000007","pieces":"many"}') == "j-000007"
+    assert peek_id(b'{"ref":"j-7/../x"}') is None
+
+
+def test_a_report_with_words_we_do_not_know_is_still_understood():
+    body = {
+        "host": "vm-1", "addr": "h:1", "build": "g8", "yard": "a", "tenure": 1, "tick": 2,
+        "epoch": 3, "pieces": [{"piece": "j-1/0", "try": 1, "phase": "dreaming", "mood": 1}],
+    }  # fmt: skip
+    report = msgspec.json.decode(json.dumps(body).encode(), type=Report)
+    assert report.tasks[0].phase == "dreaming"
+    assert not report.spot and report.notice_s is None
+
+
+def test_peer_messages_survive_the_wire():
+    slot = SlotOffer("vm-1", "g8", "a", True, 3, 1000, 0, 2000, ("img",), 0.5)
+    offer = Offer(7, (TeamOffer("red", (slot,)),))
+    assert msgspec.msgpack.decode(msgspec.msgpack.encode(offer), type=Offer) == offer
+    with pytest.raises(msgspec.DecodeError):
+        msgspec.msgpack.decode(msgspec.msgpack.encode({"term": "x"}), type=Outcomes)
