--- a/mosswalk/api/jobs.py
+++ b/mosswalk/api/jobs.py
@@ -140,7 +140,8 @@
         if not JOB_ID.match(job_id):
             return _error(404, "no such job")
         try:
-            found = await asyncio.wait_for(self._read(job_id), _POLL_S)
+            async with asyncio.timeout(_POLL_S):
+                found = await self._read(job_id)
         except (RefusedError, UnknownOutcomeError, TimeoutError):
             return self._busy("state service does not answer")
         if found is None:
@@ -150,7 +151,8 @@
     async def submit(self, body: bytes) -> Reply:
         """POST /api/jobs."""
         try:
-            return await asyncio.wait_for(self._submit(body), _SUBMIT_S)
+            async with asyncio.timeout(_SUBMIT_S):
+                return await self._submit(body)
         except (RefusedError, UnknownOutcomeError, TimeoutError):
             return self._busy("state service does not answer")
 
@@ -202,7 +204,8 @@
         if not JOB_ID.match(job_id):
             return _error(404, "no such job")
         try:
-            return await asyncio.wait_for(self._withdraw(job_id), _SUBMIT_S)
+            async with asyncio.timeout(_SUBMIT_S):
+                return await self._withdraw(job_id)
         except (RefusedError, UnknownOutcomeError, TimeoutError):
             return self._busy("state service does not answer")
 
--- a/mosswalk/leadership/actor.py
+++ b/mosswalk/leadership/actor.py
@@ -194,7 +194,8 @@
         """Stand when nobody leads; when leading, keep the term in step with who is up."""
         while True:
             with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(self._wake.wait(), 0.5)
+                async with asyncio.timeout(0.5):
+                    await self._wake.wait()
             self._wake.clear()
             if not self._mirror.loaded or self._lease is None:
                 continue
--- a/mosswalk/peers/__init__.py
+++ b/mosswalk/peers/__init__.py
@@ -76,7 +76,8 @@
     async def offer(request: web.Request) -> web.Response:
         message = await decoded(request, Offer)
         try:
-            answer = await asyncio.wait_for(on_offer(message), 6.0)
+            async with asyncio.timeout(6.0):
+                answer = await on_offer(message)
         except TimeoutError:
             return web.Response(status=503)
         return web.Response(body=msgspec.msgpack.encode(answer))
--- a/mosswalk/service.py
+++ b/mosswalk/service.py
@@ -87,7 +87,9 @@
 
 async def listen(app: web.Application, address: str) -> web.AppRunner:
     """Serve an application."""
-    runner = web.AppRunner(app, access_log=None, keepalive_timeout=120.0, handle_signals=False)
+    runner = web.AppRunner(
+        app, access_log=None, keepalive_timeout=120.0, handle_signals=False, shutdown_timeout=0.2
+    )
     await runner.setup()
     host, port = split_address(address)
     await web.TCPSite(runner, host, port, backlog=512, reuse_address=True).start()
--- a/mosswalk/store/client.py
+++ b/mosswalk/store/client.py
@@ -37,6 +37,9 @@
 class NoLeaseError(Exception):
     """The lease has ended."""
 
+    def __init__(self) -> None:
+        super().__init__("the lease has ended")
+
 
 class CompactedError(Exception):
     """The watch's starting revision is too old."""
--- a/tests/world.py
+++ b/tests/world.py
@@ -202,7 +202,8 @@
                 await self._once()
                 self.changed.clear()
                 with suppress(TimeoutError):
-                    await asyncio.wait_for(self.changed.wait(), REPORT_S)
+                    async with asyncio.timeout(REPORT_S):
+                        await self.changed.wait()
         finally:
             for key in list(self.tasks):
                 self.exit(key, "gone")
