Rent all machines of a pool in one call

Cause: one cloud call a machine, so at 3 calls a second the fleet grew by three machines in two seconds. Calls are scarcer than machines; the set of pools is still chosen for each rent.

--- a/mosswalk/cloud/actor.py
+++ b/mosswalk/cloud/actor.py
@@ -20,9 +20,9 @@
 
 
 class Rented(Struct):
-    """A rental's machines; empty if there were none to be had."""
+    """A rental's machines; fewer than groups if there were not enough to be had."""
 
-    group: int
+    groups: tuple[int, ...]
     pool: tuple[str, str, bool]
     machines: tuple[str, ...]
 
@@ -87,9 +87,13 @@
             log.info("cloud: serves again after %.1f s", lasted_us / SECOND_US)
             self._failing_since_us = None
 
-    async def rent(self, group: int, pool: tuple[str, str, bool], count: int) -> None:
-        """Rent machines in a pool. The name is random, so that it is never used again."""
+    async def rent(self, groups: tuple[int, ...], pool: tuple[str, str, bool]) -> None:
+        """Rent a machine for each group, in one call: calls are scarcer than machines.
+
+        The request's name is random, so that it is never used again.
+        """
         name = f"r-{self._rng.getrandbits(64):016x}"
+        count = min(len(groups), wire.MAX_RENT)
         request = wire.RentRequest(name, pool[0], pool[1], pool[2], count)
         machines: tuple[str, ...] = ()
         for attempt in range(_MOST_TRIES):
@@ -107,7 +111,7 @@
                 # Repeated under the same name: if it was carried out, we get its machines.
                 self._failed("rental", error)
                 await asyncio.sleep(min(4.0, 0.5 * 2**attempt) * self._rng.uniform(0.7, 1.3))
-        self._tell(Rented(group, pool, machines))
+        self._tell(Rented(groups, pool, machines))
 
     def release(self, names: list[str]) -> None:
         """Return machines; repeated until the cloud confirms it."""
--- a/mosswalk/factory/loop.py
+++ b/mosswalk/factory/loop.py
@@ -321,7 +321,7 @@
         for group in sorted(groups, key=lambda g: g.rank):
             need = max(1, int(group.weight + 0.999))
             walltime_us = float(to_us(median(group.estimates)))
-            while need > 0 and left > 0 and calls > 0:
+            while need > 0 and left > 0:
                 pools = [
                     p
                     for p in group.pools
@@ -331,7 +331,13 @@
                     break
                 front = pareto_front(self._figures(shape, pools), walltime_us)
                 best = optimize(front, self._tuning.weight_of_time)
-                chosen = tuple(f.pool for f in affordable(best, calls))
+                # A pool asked already in this turn takes part in the same call.
+                fresh = sum(1 for f in best.pools if f.pool not in added)
+                short = max(0, fresh - calls)
+                chosen = tuple(f.pool for f in affordable(best, len(best.pools) - short))
+                if not chosen:
+                    break
+                calls -= sum(1 for pool in chosen if pool not in added)
                 rent = Rent(self._next_group, chosen)
                 self._next_group += 1
                 self._groups[rent.group] = chosen
@@ -341,7 +347,6 @@
                     if state.wanted_since_us is None:
                         state.wanted_since_us = view.now_us
                 rents.append(rent)
-                calls -= len(chosen)
                 need -= 1
                 left -= 1
         return rents, calls
--- a/mosswalk/fleet/steward.py
+++ b/mosswalk/fleet/steward.py
@@ -20,7 +20,15 @@
 from mosswalk.actors import SECOND_US, Actor, Clock, to_s, to_us
 from mosswalk.cloud.actor import CloudCaller, CloudNews, Listed, Released, Rented, Typed
 from mosswalk.config import Settings
-from mosswalk.factory.loop import Factory, GiveBack, MachineView, Rent, View, WaitingTasks
+from mosswalk.factory.loop import (
+    Factory,
+    GiveBack,
+    MachineView,
+    Pool,
+    Rent,
+    View,
+    WaitingTasks,
+)
 from mosswalk.fleet.book import Book, Machine
 from mosswalk.fleet.orders import judge
 from mosswalk.jobs.board import AttemptKey, Board
@@ -816,20 +824,22 @@
 
     def _rented(self, message: Rented) -> None:
         now_us = self._clock.now_us()
-        if not message.machines:
-            log.info("pool %s: none to be had", "/".join(map(str, message.pool)))
-            self._factory.refused(message.pool, now_us)
-            self._factory.group_short(message.group, message.pool)
-            return
-        self._factory.granted(message.pool, now_us)
-        for name in message.machines:
-            log.info("rented %s in %s (group %d)", name, "/".join(map(str, message.pool)),
-                     message.group)  # fmt: skip
-            machine = self.book.machines.get(name)
-            if machine is None and not self.book.gone(name):
-                kind, zone, spot = message.pool
-                machine = Machine(name, kind, zone, spot, "requested", now_us, now_us)
-                machine.group = message.group
+        pool = message.pool
+        if message.machines:
+            self._factory.granted(pool, now_us)
+        if len(message.machines) < len(message.groups):
+            log.info(
+                "pool %s: %d of %d to be had",
+                "/".join(map(str, pool)), len(message.machines), len(message.groups),
+            )  # fmt: skip
+            self._factory.refused(pool, now_us)
+        for group in message.groups[len(message.machines) :]:
+            self._factory.group_short(group, pool)
+        for name, group in zip(message.machines, message.groups, strict=False):
+            log.info("rented %s in %s (group %d)", name, "/".join(map(str, pool)), group)
+            if name not in self.book.machines and not self.book.gone(name):
+                machine = Machine(name, *pool, "requested", now_us, now_us)
+                machine.group = group
                 self.book.machines[name] = machine
 
     def _typed(self, types: tuple[MachineType, ...]) -> None:
@@ -962,12 +972,18 @@
         return View(self._clock.now_us(), self.book.types, machines, waiting, calls)
 
     def _run_factory(self) -> None:
+        wanted: dict[Pool, list[int]] = {}
         for decision in self._factory.decide(self._view(self._waiting())):
             if isinstance(decision, Rent):
-                log.info("renting, group %d: %s", decision.group,
-                         ", ".join("/".join(map(str, p)) for p in decision.pools))  # fmt: skip
+                log.info(
+                    "renting, group %d: %s",
+                    decision.group,
+                    ", ".join("/".join(map(str, p)) for p in decision.pools),
+                )
                 for pool in decision.pools:
-                    if self.cloud is not None:
-                        self.spawn(self.cloud.rent(decision.group, pool, 1))
+                    wanted.setdefault(pool, []).append(decision.group)
             else:
                 self._give_back(decision)
+        if self.cloud is not None:
+            for pool, groups in wanted.items():
+                self.spawn(self.cloud.rent(tuple(groups), pool))
