Draw tasks to machines that fetch their image already; ask the cloud at once

Cause: a job's tasks were spread over machines that each fetched the same image, since only images of running tasks counted; and the first call for machine types waited two seconds.

--- a/mosswalk/fleet/steward.py
+++ b/mosswalk/fleet/steward.py
@@ -258,7 +258,7 @@
             self._leading = True
             self._since_us = self._clock.now_us()
             self._listed = False
-            self._asked_list_us = self._asked_types_us = 0
+            self._asked_list_us = self._asked_types_us = -_TYPES_US
             for machine in list(self._board.by_machine):
                 self._rumour(machine)
             for attempts in self._board.by_machine.values():
@@ -861,7 +861,7 @@
             await self._writer.commit(Change(guards, {records.TYPES_KEY: value}))
         except (ConflictError, RefusedError, UnknownOutcomeError) as error:
             log.info("machine types not written: %s", error)
-            self._asked_types_us = 0
+            self._asked_types_us = -_TYPES_US
 
     async def _clear_orphans(self) -> None:
         """Remove chunks of jobs that are over; their removal is not part of the job's end."""
--- a/mosswalk/placement/rooms.py
+++ b/mosswalk/placement/rooms.py
@@ -21,6 +21,7 @@
     cpus: int
     gpus: int
     memory: int
+    # At hand or on their way: tasks that need the same image share one fetch.
     images: frozenset[str] = frozenset()
     price: float = 0.0
 
@@ -33,6 +34,8 @@
         self.cpus -= job.cpus * count
         self.gpus -= job.gpus * count
         self.memory -= job.memory * count
+        if count > 0:
+            self.images |= {job.spec.image}
 
     def allows(self, job: Job) -> bool:
         """Whether the job may run on such a machine at all."""
