--- a/mosswalk/factory/loop.py
+++ b/mosswalk/factory/loop.py
@@ -7,13 +7,14 @@
 from __future__ import annotations
 
 import logging
+import math
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 from statistics import median
 
 from mosswalk.actors import to_us
 from mosswalk.config.operator import FactoryTuning
-from mosswalk.factory.load import Dwell, fits, load_ratio, per_machine, weight
+from mosswalk.factory.load import Dwell, fits, load_ratio, weight
 from mosswalk.factory.pareto import PoolFigures, affordable, optimize, pareto_front
 from mosswalk.jobs.state import Job, milli_room
 from mosswalk.placement.rooms import Room, ZoneRule
@@ -275,25 +276,27 @@
         """
         shares: dict[str, list[_Group]] = {}
         open_pools = {name: self._open_pools(t, view) for name, t in view.types.items()}
+        choices: list[tuple[WaitingTasks, dict[str, tuple[Pool, ...]]]] = []
+        totals: dict[str, float] = dict.fromkeys(view.types, 0.0)
         for tasks in unplaced:
+            usable = {
+                name: pools
+                for name, shape in view.types.items()
+                if fits(tasks.job, shape) and (pools := _usable(tasks, open_pools[name]))
+            }
+            choices.append((tasks, usable))
+            for name in usable:
+                totals[name] += weight(tasks.job, view.types[name]) * tasks.count
+        for tasks, usable in choices:
             job = tasks.job
             best: tuple[float, str, tuple[Pool, ...]] | None = None
-            for name, shape in view.types.items():
-                if not fits(job, shape):
-                    continue
-                pools = tuple(
-                    pool
-                    for pool in open_pools[name]
-                    if (job.spec.spot or not pool[2])
-                    and (job.spec.zone is None or pool[1] == job.spec.zone)
-                    and tasks.rule.allows(pool[1])
-                )
-                if not pools:
-                    continue
-                held = min(tasks.count, per_machine(job, shape))
+            for name, pools in usable.items():
+                shape = view.types[name]
                 price = min(shape.spot_price if p[2] else shape.price for p in pools)
-                # The price of the machine a task must pay for, if the rest stays empty.
-                cost = price / held
+                # The price of the room a task takes, with its part of what would stay empty
+                # if all that waits and fits were put on this shape.
+                empty = math.ceil(totals[name]) / totals[name]
+                cost = price * weight(job, shape) * empty
                 if best is None or (cost, name) < best[:2]:
                     best = (cost, name, pools)
             if best is None:
@@ -384,6 +387,18 @@
         return gone
 
 
+def _usable(tasks: WaitingTasks, pools: Iterable[Pool]) -> tuple[Pool, ...]:
+    """The pools that a job's next tasks may use."""
+    spec = tasks.job.spec
+    return tuple(
+        pool
+        for pool in pools
+        if (spec.spot or not pool[2])
+        and (spec.zone is None or pool[1] == spec.zone)
+        and tasks.rule.allows(pool[1])
+    )
+
+
 @dataclass(slots=True)
 class _Group:
     """Unplaced tasks of one shape that may use the same pools."""
