--- a/mosswalk/fleet/steward.py
+++ b/mosswalk/fleet/steward.py
@@ -616,7 +616,8 @@
                 job.cpus + (before.cpus if before else 0),
                 job.gpus + (before.gpus if before else 0),
                 job.memory + (before.memory if before else 0),
-                tuple(room.images), room.price,
+                tuple(room.images), room.core_price,
+                room.fetch_s_per_gb,
             )  # fmt: skip
         self._stuck = [job for queue in queues for job in queue.stuck]
         by_node: dict[str, dict[str, list[SlotOffer]]] = {}
--- a/mosswalk/placement/rooms.py
+++ b/mosswalk/placement/rooms.py
@@ -23,7 +23,9 @@
     memory: int
     # At hand or on their way: tasks that need the same image share one fetch.
     images: frozenset[str] = frozenset()
-    price: float = 0.0
+    # The price of a core for an hour, and how long a gigabyte of image takes to fetch.
+    core_price: float = 0.0
+    fetch_s_per_gb: float = 0.0
 
     def holds(self, job: Job) -> bool:
         """Whether one task of the job fits by amounts."""
@@ -51,7 +53,8 @@
     """The room of an offer."""
     return Room(
         offer.machine, offer.type, offer.zone, offer.spot, offer.tenure,
-        offer.cpus, offer.gpus, offer.memory, frozenset(offer.images), offer.price,
+        offer.cpus, offer.gpus, offer.memory, frozenset(offer.images),
+        offer.core_price, offer.fetch_s_per_gb,
     )  # fmt: skip
 
 
@@ -92,19 +95,34 @@
     return rule
 
 
+# Estimates near zero must not make the image's fetch look like the whole cost.
+_LEAST_RUN_S = 10.0
+
+
+def _money(job: Job, room: Room) -> float:
+    """What a task's stay on the machine costs, its image's fetch included."""
+    spec = job.spec
+    fetch_s = 0.0 if spec.image in room.images else spec.image_gb * room.fetch_s_per_gb
+    return room.core_price * (fetch_s + max(_LEAST_RUN_S, spec.estimate_s))
+
+
 def best_room(job: Job, rooms: Iterable[Room], rule: ZoneRule, avoid: set[str]) -> Room | None:
-    """Where the job's next task goes: image at hand, cheap if it may be, and a tight fit."""
+    """Where the job's next task goes.
+
+    A replica goes where its image is at hand, for it is wanted at once and stays long. Other
+    work goes where it costs least. Then a tight fit, so that large room stays whole.
+    """
     best: Room | None = None
-    best_key: tuple[bool, bool, int, int, str] | None = None
+    best_key: tuple[float, int, int, str] | None = None
     spec = job.spec
     for room in rooms:
         if not room.holds(job) or not room.allows(job) or room.machine in avoid:
             continue
         if not rule.allows(room.zone):
             continue
+        missing = spec.image not in room.images
         key = (
-            spec.image not in room.images,
-            spec.spot and not room.spot,
+            float(missing) if spec.kind == "daemon" else round(_money(job, room), 2),
             # Spread replicas evenly, so that the last one still finds a zone open.
             rule.counts.get(room.zone, 0) if spec.spread else 0,
             room.cpus - job.cpus,
--- a/mosswalk/wire/peers.py
+++ b/mosswalk/wire/peers.py
@@ -21,7 +21,8 @@
     gpus: int
     memory: int
     images: tuple[str, ...] = ()
-    price: float = 0.0
+    core_price: float = 0.0
+    fetch_s_per_gb: float = 0.0
 
 
 class TeamOffer(Struct, frozen=True, array_like=True):
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -85,9 +85,16 @@
 
 
 def test_an_image_at_hand_and_cheap_room_are_preferred_and_a_bad_machine_avoided():
-    places = [room("vm-1"), room("vm-2", images=frozenset({"img"})), room("vm-3", spot=True)]
+    places = [
+        room("vm-1", core_price=0.06, fetch_s_per_gb=5.0),
+        room("vm-2", core_price=0.06, fetch_s_per_gb=5.0, images=frozenset({"img"})),
+        room("vm-3", core_price=0.06, fetch_s_per_gb=5.0, spot=True),
+    ]
+    places[2].core_price = 0.055
     assert queue(Team("red"), [job(tasks=1)]).place_one(places).room.machine == "vm-2"
     assert queue(Team("red"), [job(tasks=1)]).place_one([places[0], places[2]]).room.spot
+    replica = job(tasks=1, kind="daemon", priority="prod")
+    assert queue(Team("red"), [replica]).place_one(places).room.machine == "vm-2"
     avoiding = TeamQueue(Team("red"), [job(tasks=1)], Usage(), {}, {"j-1": {"vm-1"}}, {})
     assert avoiding.place_one([room("vm-1")]) is None
 
