--- a/mosswalk/config/operator.py
+++ b/mosswalk/config/operator.py
@@ -19,10 +19,10 @@
 class FactoryTuning(Struct, frozen=True):
     """The open parameters of the VM factory (paper: tau, mu, nu, k, lambda)."""
 
-    period_s: float = 2.0
+    period_s: float = 0.5
     load_high: float = 1.02
     load_low: float = 0.95
-    high_dwell_s: float = 1.0
+    high_dwell_s: float = 0.5
     low_dwell_s: float = 12.0
     most_rented: int = 12
     most_returned: int = 2
--- a/mosswalk/factory/loop.py
+++ b/mosswalk/factory/loop.py
@@ -141,10 +141,15 @@
         self.pool(pool).boot_us = float(took_us)
 
     def group_booted(self, group: int, pool: Pool, view: View) -> list[GiveBack]:
-        """Procedure HandleReplicas: each other copy's pool gives back one machine."""
+        """Procedure HandleReplicas: each other copy's pool gives back one machine.
+
+        Exception: a pool whose machine waiting tasks would take keeps it. Giving it back would
+        only be followed by renting the same again, with another boot to wait for and to pay.
+        """
         rest = list(self._groups.pop(group, ()))
         if pool in rest:
             rest.remove(pool)
+        rest = [p for p in rest if not any(self._wanted(t, p, view) for t in view.waiting)]
         gone: list[GiveBack] = []
         for other in rest:
             names = {g.machine for g in gone}
@@ -159,6 +164,11 @@
                 gone.append(GiveBack(min(candidates, key=removal_order).name, "replica lost"))
         return gone
 
+    @staticmethod
+    def _wanted(tasks: WaitingTasks, pool: Pool, view: View) -> bool:
+        shape = view.types.get(pool[0])
+        return shape is not None and fits(tasks.job, shape) and bool(_usable(tasks, [pool]))
+
     def group_short(self, group: int, pool: Pool) -> None:
         """A copy was not to be had."""
         left = list(self._groups.get(group, ()))
--- a/mosswalk/fleet/steward.py
+++ b/mosswalk/fleet/steward.py
@@ -9,6 +9,7 @@
 import asyncio
 import logging
 import random
+from collections import Counter
 from collections.abc import Awaitable, Iterable
 from dataclasses import dataclass, field
 from typing import Protocol
@@ -20,6 +21,7 @@
 from mosswalk.actors import SECOND_US, Actor, Clock, to_s, to_us
 from mosswalk.cloud.actor import CloudCaller, CloudNews, Listed, Released, Rented, Typed
 from mosswalk.config import Settings
+from mosswalk.factory.cordon import Occupancy, to_cordon
 from mosswalk.factory.loop import (
     Factory,
     GiveBack,
@@ -198,6 +200,10 @@
         self._late_starts: dict[AttemptKey, int] = {}
         self._failed_on: dict[str, set[str]] = {}
         self._stuck: list[Job] = []
+        self._cordoned: set[str] = set()
+        # Rentals asked for and not yet answered: they count as requested machines, or a slow
+        # cloud would be asked for the same again each period.
+        self._asked: Counter[Pool] = Counter()
         board.on_attempt.append(self._attempt_appeared)
         mirror.after_batch(self._poke)
         leadership.on_term.append(lambda: self.tell(TermBegan()))
@@ -277,6 +283,8 @@
             self._pushes.clear()
             self._late_starts.clear()
             self._stuck = []
+            self._cordoned = set()
+            self._asked.clear()
             if self.cloud is not None:
                 self.cloud.forget()
 
@@ -356,7 +364,9 @@
         pool = (machine.type, machine.zone, machine.spot)
         if machine.group is not None:
             self._factory.booted(pool, took_us)
-            for back in self._factory.group_booted(machine.group, pool, self._view([])):
+            for back in self._factory.group_booted(
+                machine.group, pool, self._view(self._waiting())
+            ):
                 self._give_back(back)
             machine.group = None
 
@@ -826,6 +836,7 @@
     def _rented(self, message: Rented) -> None:
         now_us = self._clock.now_us()
         pool = message.pool
+        self._asked -= Counter({pool: len(message.groups)})
         if message.machines:
             self._factory.granted(pool, now_us)
         if len(message.machines) < len(message.groups):
@@ -969,10 +980,36 @@
                     machine.idle_since_us, load,
                 )
             )  # fmt: skip
+        now_us = self._clock.now_us()
+        for pool, count in self._asked.items():
+            for i in range(count):
+                name = f"asked {i} of {pool}"
+                machines.append(
+                    MachineView(name, pool, "requested", now_us, now_us, True, None, 0.0)
+                )
         calls = self.cloud.calls_left() if self.cloud is not None else 0
-        return View(self._clock.now_us(), self.book.types, machines, waiting, calls)
+        return View(now_us, self.book.types, machines, waiting, calls)
+
+    def _occupancy(self) -> list[Occupancy]:
+        found: list[Occupancy] = []
+        for machine in self.book.machines.values():
+            room, shape = self._room(machine), self.book.types.get(machine.type)
+            if room is None or shape is None:
+                continue
+            jobs = [self._board.jobs.get(k[0]) for k in self._board.attempts_on(machine.name)]
+            found.append(
+                Occupancy(
+                    machine.name,
+                    milli_room(shape.cpus) - room.cpus, max(0, room.cpus),
+                    milli_room(shape.memory_gb) - room.memory, max(0, room.memory),
+                    shape.spot_price if machine.spot else shape.price,
+                    not any(job is not None and job.spec.kind == "daemon" for job in jobs),
+                )
+            )  # fmt: skip
+        return found
 
     def _run_factory(self) -> None:
+        self._cordoned = to_cordon(self._occupancy())
         wanted: dict[Pool, list[int]] = {}
         for decision in self._factory.decide(self._view(self._waiting())):
             if isinstance(decision, Rent):
@@ -987,4 +1024,5 @@
                 self._give_back(decision)
         if self.cloud is not None:
             for pool, groups in wanted.items():
+                self._asked[pool] += len(groups)
                 self.spawn(self.cloud.rent(tuple(groups), pool))
--- a/mosswalk/placement/rooms.py
+++ b/mosswalk/placement/rooms.py
@@ -26,6 +26,8 @@
     # The price of a core for an hour, and how long a gigabyte of image takes to fetch.
     core_price: float = 0.0
     fetch_s_per_gb: float = 0.0
+    # To be emptied: taken only when nothing else fits.
+    cordoned: bool = False
 
     def holds(self, job: Job) -> bool:
         """Whether one task of the job fits by amounts."""
@@ -113,7 +115,7 @@
     work goes where it costs least. Then a tight fit, so that large room stays whole.
     """
     best: Room | None = None
-    best_key: tuple[float, int, int, str] | None = None
+    best_key: tuple[bool, float, int, int, str] | None = None
     spec = job.spec
     for room in rooms:
         if not room.holds(job) or not room.allows(job) or room.machine in avoid:
@@ -122,6 +124,7 @@
             continue
         missing = spec.image not in room.images
         key = (
+            room.cordoned,
             float(missing) if spec.kind == "daemon" else round(_money(job, room), 2),
             # Spread replicas evenly, so that the last one still finds a zone open.
             rule.counts.get(room.zone, 0) if spec.spread else 0,
--- a/tests/test_factory.py
+++ b/tests/test_factory.py
@@ -5,6 +5,7 @@
 from hypothesis import strategies as st
 
 from mosswalk.config.operator import FactoryTuning
+from mosswalk.factory.cordon import Occupancy, to_cordon
 from mosswalk.factory.load import Dwell, load_ratio, per_machine, weight
 from mosswalk.factory.loop import Factory, GiveBack, MachineView, Rent, View, WaitingTasks
 from mosswalk.factory.pareto import (
@@ -137,6 +138,10 @@
         ]
     gone = factory.group_booted(rent.group, first, view(9 * S, machines))
     assert {g.machine for g in gone} == {f"vm-{i}-new" for i in range(len(others))}
+    again = Factory(FactoryTuning(high_dwell_s=0.0, weight_of_time=1.0))
+    rent = again.decide(view(0, tasks=[waiting(1)]))[0]
+    # Copies that waiting tasks would take stay.
+    assert again.group_booted(rent.group, first, view(9 * S, machines, [waiting(1)])) == []
     # The group is settled: a second copy that boots loses nothing more.
     assert factory.group_booted(rent.group, others[0], view(9 * S, machines)) == []
 
@@ -186,3 +191,25 @@
         assert not any(pool[2] for pool in rented)
     busy = {m.name for m in machines if m.load > 0}
     assert not busy & {d.machine for d in decisions if isinstance(d, GiveBack)}
+
+
+def occupancy(name, used, free, price=1.0, movable=True):
+    return Occupancy(name, used, free, 0, 1, price, movable)
+
+
+def test_the_dearest_waste_is_emptied_if_the_others_have_room():
+    machines = [
+        occupancy("dear", 10, 54, 4.8), occupancy("cheap", 10, 54, 1.8),
+        occupancy("small", 2, 2, 0.3, movable=False),
+    ]  # fmt: skip
+    assert to_cordon(machines) == {"dear"}
+    assert to_cordon([occupancy("only", 2, 62)]) == set()
+    assert to_cordon([occupancy("a", 2, 62, 9.0, movable=False), occupancy("b", 60, 4)]) == set()
+
+
+@given(st.lists(st.tuples(st.integers(0, 64), st.integers(0, 64), st.floats(0.1, 5)), max_size=9))
+def test_what_is_left_uncordoned_always_holds_the_work(rows):
+    machines = [occupancy(f"vm-{i}", u, f, p) for i, (u, f, p) in enumerate(rows)]
+    gone = to_cordon(machines)
+    moved = sum(m.used_cpus for m in machines if m.machine in gone)
+    assert moved <= sum(m.free_cpus for m in machines if m.machine not in gone)
