Let work that may use spot machines wait a while before steady ones are rented

The dwell for steady pools is now 30 s, twice that for idle work, none within a guarantee or close to a deadline. Also: a busy owner's teams keep their stuck jobs, whose gaps restarted dwells; replicas go on cheap room when images are as near.

--- a/mosswalk/config/operator.py
+++ b/mosswalk/config/operator.py
@@ -29,6 +29,8 @@
     weight_of_time: float = 0.3
     pool_cap: int = 12
     idle_keep_s: float = 10.0
+    # Work that may use spot machines waits this long before steady ones are rented for it.
+    steady_after_s: float = 30.0
 
 
 class FleetTuning(Struct, frozen=True):
--- a/mosswalk/factory/loop.py
+++ b/mosswalk/factory/loop.py
@@ -42,6 +42,9 @@
     usable: bool
     idle_since_us: int | None
     load: float
+    # Chosen to be emptied: an idle machine that is not stays, or cheap ones would be given
+    # back while dear ones are still at work.
+    cordoned: bool = True
 
 
 @dataclass(slots=True)
@@ -51,6 +54,8 @@
     job: Job
     count: int
     rule: ZoneRule
+    # May wait a while for spot machines rather than have steady ones rented.
+    patient: bool = False
 
 
 @dataclass(slots=True)
@@ -267,7 +272,7 @@
                     rule.add(room.zone)
                     count -= 1
             if count:
-                left.append(WaitingTasks(tasks.job, count, rule))
+                left.append(WaitingTasks(tasks.job, count, rule, tasks.patient))
         booting = {room.machine: room for room in rooms}
         for m in view.machines:
             if m.name in booting:
@@ -378,6 +383,7 @@
                     m.phase != "up"
                     or (
                         m.idle_since_us is not None
+                        and m.cordoned
                         and view.now_us - m.idle_since_us >= to_us(tuning.idle_keep_s)
                     )
                 )
@@ -403,7 +409,7 @@
     return tuple(
         pool
         for pool in pools
-        if (spec.spot or not pool[2])
+        if (pool[2] if tasks.patient else spec.spot or not pool[2])
         and (spec.zone is None or pool[1] == spec.zone)
         and tasks.rule.allows(pool[1])
     )
--- a/mosswalk/fleet/steward.py
+++ b/mosswalk/fleet/steward.py
@@ -199,7 +199,8 @@
         self._pushes: dict[str, _Push] = {}
         self._late_starts: dict[AttemptKey, int] = {}
         self._failed_on: dict[str, set[str]] = {}
-        self._stuck: list[Job] = []
+        self._stuck: dict[str, list[Job]] = {}
+        self._stuck_since: dict[str, int] = {}
         self._cordoned: set[str] = set()
         # Rentals asked for and not yet answered: they count as requested machines, or a slow
         # cloud would be asked for the same again each period.
@@ -282,7 +283,7 @@
             self._stops.clear()
             self._pushes.clear()
             self._late_starts.clear()
-            self._stuck = []
+            self._stuck.clear()
             self._cordoned = set()
             self._asked.clear()
             if self.cloud is not None:
@@ -629,7 +630,14 @@
                 tuple(room.images), room.core_price,
                 room.fetch_s_per_gb,
             )  # fmt: skip
-        self._stuck = [job for queue in queues for job in queue.stuck]
+        # Teams whose owner is busy keep what was found last time: a gap would restart the
+        # factory's dwell and every job's patience.
+        self._stuck.update({queue.team.name: queue.stuck for queue in queues})
+        self._stuck_since = {
+            job.id: self._stuck_since.get(job.id, now_us)
+            for stuck in self._stuck.values()
+            for job in stuck
+        }
         by_node: dict[str, dict[str, list[SlotOffer]]] = {}
         for (team, _), slot in slots.items():
             node = term.owners.get(team)
@@ -894,13 +902,16 @@
         zones = self.book.zone_of()
         usage = usage_by_team(self._board.jobs.values())
         waiting: list[WaitingTasks] = []
-        for job in self._stuck:
-            job = self._board.jobs.get(job.id, job)
+        for stuck in [job for jobs in self._stuck.values() for job in jobs]:
+            job = self._board.jobs.get(stuck.id)
+            if job is None:
+                continue
             team = self._teams.get(job.spec.team)
             rule = zone_rule(job, zones)
             if team is None or rule is None or not job.open:
                 continue
             own = usage.setdefault(team.name, Usage())
+            patient = self._patient(job, within(team, own, job, limit=False))
             count = 0
             for _ in range(min(job.pending_count(), 2000)):
                 if not within(team, own, job, limit=True):
@@ -908,9 +919,24 @@
                 own.add(job)
                 count += 1
             if count:
-                waiting.append(WaitingTasks(job, count, rule))
+                waiting.append(WaitingTasks(job, count, rule, patient))
         return waiting
 
+    def _patient(self, job: Job, guaranteed: bool) -> bool:
+        """Whether a job's tasks can wait for spot machines to come free or be rented."""
+        if not job.spec.spot or job.rank < 2 or guaranteed:
+            return False
+        now_us = self._clock.now_us()
+        waited_us = now_us - self._stuck_since.get(job.id, now_us)
+        # Idle work waits twice as long: nobody is held up by it.
+        patience_s = self._settings.tuning.factory.steady_after_s * (job.rank - 1)
+        if waited_us >= to_us(patience_s):
+            return False
+        boot_s = max((t.boot_s for t in self.book.types.values()), default=0.0)
+        # Estimates are often short by half.
+        needed_us = to_us(1.5 * job.spec.estimate_s + boot_s)
+        return job.due_us() - self._clock.wall_us() > needed_us
+
     def _preempt(self) -> None:
         """Stop less urgent attempts for tasks that found no room."""
         urgent = [w for w in self._waiting() if w.job.rank < 3]
--- a/mosswalk/placement/rooms.py
+++ b/mosswalk/placement/rooms.py
@@ -108,24 +108,35 @@
     return room.core_price * (fetch_s + max(_LEAST_RUN_S, spec.estimate_s))
 
 
+# Fetches that differ by less than this are alike to a replica that waits for its image.
+_FETCH_STEP_S = 1.5
+
+
 def best_room(job: Job, rooms: Iterable[Room], rule: ZoneRule, avoid: set[str]) -> Room | None:
     """Where the job's next task goes.
 
-    A replica goes where its image is at hand, for it is wanted at once and stays long. Other
-    work goes where it costs least. Then a tight fit, so that large room stays whole.
+    A replica is wanted at once, so it goes where its image is at hand or soon there; and as it
+    stays long, it goes on cheap room then: one on a large dear machine keeps all of that machine
+    from being given back. Other work goes where its stay costs least. Then a tight fit, so that
+    large room stays whole.
     """
     best: Room | None = None
-    best_key: tuple[bool, float, int, int, str] | None = None
+    best_key: tuple[bool, float, float, int, int, str] | None = None
     spec = job.spec
     for room in rooms:
         if not room.holds(job) or not room.allows(job) or room.machine in avoid:
             continue
         if not rule.allows(room.zone):
             continue
-        missing = spec.image not in room.images
+        if spec.kind == "daemon":
+            fetch_s = 0.0 if spec.image in room.images else spec.image_gb * room.fetch_s_per_gb
+            first, second = float(round(fetch_s / _FETCH_STEP_S)), round(room.core_price, 3)
+        else:
+            first, second = round(_money(job, room), 2), 0.0
         key = (
             room.cordoned,
-            float(missing) if spec.kind == "daemon" else round(_money(job, room), 2),
+            first,
+            second,
             # Spread replicas evenly, so that the last one still finds a zone open.
             rule.counts.get(room.zone, 0) if spec.spread else 0,
             room.cpus - job.cpus,
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -93,8 +93,11 @@
     places[2].core_price = 0.055
     assert queue(Team("red"), [job(tasks=1)]).place_one(places).room.machine == "vm-2"
     assert queue(Team("red"), [job(tasks=1)]).place_one([places[0], places[2]]).room.spot
-    replica = job(tasks=1, kind="daemon", priority="prod")
+    replica = job(tasks=1, kind="daemon", priority="prod", spot=False)
     assert queue(Team("red"), [replica]).place_one(places).room.machine == "vm-2"
+    places[1].core_price = 0.08
+    places[0].images = places[1].images
+    assert queue(Team("red"), [replica]).place_one(places).room.machine == "vm-1"
     avoiding = TeamQueue(Team("red"), [job(tasks=1)], Usage(), {}, {"j-1": {"vm-1"}}, {})
     assert avoiding.place_one([room("vm-1")]) is None
 
