Give back only machines chosen to be emptied

Cause: each shape's loop returned its longest idle machine, also a cheap spot one while a dear steady one of the same shape was still at work.

--- a/mosswalk/fleet/steward.py
+++ b/mosswalk/fleet/steward.py
@@ -1003,7 +1003,7 @@
                 MachineView(
                     machine.name, (machine.type, machine.zone, machine.spot), machine.phase,
                     machine.since_us, machine.rented_us, machine.notice_until_us is None,
-                    machine.idle_since_us, load,
+                    machine.idle_since_us, load, machine.name in self._cordoned,
                 )
             )  # fmt: skip
         now_us = self._clock.now_us()
