Keep freed room for whom it was freed; gather replicas; give rooms their true core price

Also found: rooms carried the machine's price instead of a core's, and never the cordon, since an edit had missed; so arrays preferred small dear machines to large cheap ones.

--- a/mosswalk/fleet/steward.py
+++ b/mosswalk/fleet/steward.py
@@ -60,6 +60,8 @@
 _LIST_US = 4 * SECOND_US
 _TYPES_US = 60 * SECOND_US
 _PREEMPT_US = 500_000
+# How long room freed by stopping attempts is kept for those it was freed for.
+_CLAIM_US = 4 * SECOND_US
 _MOST_VICTIMS = 16
 # Grace after taking over, until workers have found their way to us.
 _TAKEOVER_US = 8 * SECOND_US
@@ -201,6 +203,7 @@
         self._failed_on: dict[str, set[str]] = {}
         self._stuck: dict[str, list[Job]] = {}
         self._stuck_since: dict[str, int] = {}
+        self._claims: dict[str, tuple[int, frozenset[str]]] = {}
         self._cordoned: set[str] = set()
         # Rentals asked for and not yet answered: they count as requested machines, or a slow
         # cloud would be asked for the same again each period.
@@ -558,11 +561,22 @@
             or self._clock.now_us() - machine.seen_us > self._silent_us
         ):
             return None
+        price = shape.spot_price if machine.spot else shape.price
         room = Room(
-            machine.name, machine.type, machine.zone, machine.spot, machine.tenure,
-            milli_room(shape.cpus), milli_room(shape.gpus), milli_room(shape.memory_gb),
-            frozenset(machine.images), shape.spot_price if machine.spot else shape.price,
-        )  # fmt: skip
+            machine=machine.name,
+            type=machine.type,
+            zone=machine.zone,
+            spot=machine.spot,
+            tenure=machine.tenure,
+            cpus=milli_room(shape.cpus),
+            gpus=milli_room(shape.gpus),
+            memory=milli_room(shape.memory_gb),
+            images=frozenset(machine.images),
+            core_price=price / max(1.0, shape.cpus),
+            fetch_s_per_gb=1.0 / max(0.001, shape.fetch_gb_per_s),
+            cordoned=machine.name in self._cordoned,
+            claimed_by=self._claimants(machine.name),
+        )
         attempts = self._board.attempts_on(machine.name)
         for key in attempts:
             job = self._board.jobs.get(key[0])
@@ -576,6 +590,10 @@
                     room.memory -= slot.memory
         return room
 
+    def _claimants(self, name: str) -> frozenset[str]:
+        until_us, jobs = self._claims.get(name, (0, frozenset()))
+        return jobs if self._clock.now_us() < until_us else frozenset()
+
     def _drop_reservations(self) -> None:
         now_us = self._clock.now_us()
         self._reservations = [
@@ -975,6 +993,9 @@
             grace_s = spec.save_s if spec.checkpoint_s > 0 else 0.0
             key = (victim.job.id, victim.attempt.task, victim.attempt.number)
             self._stops[key] = _Stop(now_us, grace_s)
+            name = victim.attempt.machine
+            claim_us = now_us + _CLAIM_US + to_us(grace_s)
+            self._claims[name] = (claim_us, self._claimants(name) | {victim.wanted_by})
             log.info("stopping %s/%d attempt %d on %s for more urgent work",
                      *key, victim.attempt.machine)  # fmt: skip
             there = self.book.machines.get(victim.attempt.machine)
--- a/mosswalk/placement/preemption.py
+++ b/mosswalk/placement/preemption.py
@@ -14,10 +14,11 @@
 
 @dataclass(slots=True, frozen=True)
 class Victim:
-    """An attempt that could be stopped."""
+    """An attempt that could be stopped, and the job that would get its room."""
 
     job: Job
     attempt: Attempt
+    wanted_by: str = ""
 
 
 def may_preempt(
@@ -81,7 +82,7 @@
                 room.take(victim.job, -1)
                 left[room.machine].remove(victim)
                 used.setdefault(victim.job.spec.team, Usage()).add(victim.job, -1)
-                chosen.append(victim)
+                chosen.append(replace(victim, wanted_by=job.id))
             room.take(job)
             rule.add(room.zone)
             own.add(job)
--- a/mosswalk/placement/rooms.py
+++ b/mosswalk/placement/rooms.py
@@ -28,6 +28,10 @@
     fetch_s_per_gb: float = 0.0
     # To be emptied: taken only when nothing else fits.
     cordoned: bool = False
+    # Cores that replicas take: they stay, so more of them cost no further machine.
+    replica_cpus: int = 0
+    # The jobs for which attempts were stopped here a moment ago, if any were.
+    claimed_by: frozenset[str] = frozenset()
 
     def holds(self, job: Job) -> bool:
         """Whether one task of the job fits by amounts."""
@@ -40,6 +44,8 @@
         self.memory -= job.memory * count
         if count > 0:
             self.images |= {job.spec.image}
+            if job.spec.kind == "daemon":
+                self.replica_cpus += job.cpus * count
 
     def allows(self, job: Job) -> bool:
         """Whether the job may run on such a machine at all."""
@@ -116,9 +122,9 @@
     """Where the job's next task goes.
 
     A replica is wanted at once, so it goes where its image is at hand or soon there; and as it
-    stays long, it goes on cheap room then: one on a large dear machine keeps all of that machine
-    from being given back. Other work goes where its stay costs least. Then a tight fit, so that
-    large room stays whole.
+    stays long, it goes where replicas are already, then on cheap room: a lone one keeps a whole
+    machine from being given back. Other work goes where its stay costs least.
+    Then a tight fit, so that large room stays whole.
     """
     best: Room | None = None
     best_key: tuple[bool, float, float, int, int, str] | None = None
@@ -128,9 +134,13 @@
             continue
         if not rule.allows(room.zone):
             continue
+        if room.claimed_by and job.id not in room.claimed_by:
+            # Else the stopped task itself would be put back at once, and stopped again.
+            continue
         if spec.kind == "daemon":
             fetch_s = 0.0 if spec.image in room.images else spec.image_gb * room.fetch_s_per_gb
-            first, second = float(round(fetch_s / _FETCH_STEP_S)), round(room.core_price, 3)
+            first = float(round(fetch_s / _FETCH_STEP_S))
+            second = (0.0 if room.replica_cpus else 1.0) + round(room.core_price, 3)
         else:
             first, second = round(_money(job, room), 2), 0.0
         key = (
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -96,7 +96,7 @@
     replica = job(tasks=1, kind="daemon", priority="prod", spot=False)
     assert queue(Team("red"), [replica]).place_one(places).room.machine == "vm-2"
     places[1].core_price = 0.08
-    places[0].images = places[1].images
+    places[0].images, places[0].replica_cpus = places[1].images, places[1].replica_cpus
     assert queue(Team("red"), [replica]).place_one(places).room.machine == "vm-1"
     avoiding = TeamQueue(Team("red"), [job(tasks=1)], Usage(), {}, {"j-1": {"vm-1"}}, {})
     assert avoiding.place_one([room("vm-1")]) is None
@@ -159,3 +159,16 @@
     assert first.term == 1 and not needs_new_term(first, {"a": "1", "b": "1"})
     assert needs_new_term(first, {"a": "1", "b": "2"}) and needs_new_term(first, {"a": "1"})
     assert next_term(first, "b", {"b": "2"}, ["x"], above=7).term == 8
+
+
+def test_room_freed_for_a_job_is_not_given_back_to_the_one_that_was_stopped():
+    stopped, urgent = job("j-7", tasks=1, priority="idle"), job("j-9", tasks=1)
+    claimed = room(claimed_by=frozenset({"j-9"}))
+    assert queue(Team("red"), [stopped]).place_one([claimed]) is None
+    assert queue(Team("red"), [urgent]).place_one([claimed]).job is urgent
+
+
+def test_replicas_gather_so_that_other_machines_can_be_given_back():
+    replica = job(tasks=1, kind="daemon", spot=False)
+    alone, shared = room("vm-1", cpus=1000), room("vm-2", replica_cpus=1000)
+    assert queue(Team("red"), [replica]).place_one([alone, shared]).room is shared
