--- a/mosswalk/factory/loop.py
+++ b/mosswalk/factory/loop.py
@@ -292,7 +292,9 @@
         shares: dict[str, list[_Group]] = {}
         open_pools = {name: self._open_pools(t, view) for name, t in view.types.items()}
         choices: list[tuple[WaitingTasks, dict[str, tuple[Pool, ...]]]] = []
-        totals: dict[str, float] = dict.fromkeys(view.types, 0.0)
+        # By shape and by whether spot machines of it would serve: what must have steady machines
+        # does not fill spot ones, nor the other way round.
+        totals: dict[tuple[str, bool], float] = {}
         for tasks in unplaced:
             usable = {
                 name: pools
@@ -300,8 +302,10 @@
                 if fits(tasks.job, shape) and (pools := _usable(tasks, open_pools[name]))
             }
             choices.append((tasks, usable))
-            for name in usable:
-                totals[name] += weight(tasks.job, view.types[name]) * tasks.count
+            for name, pools in usable.items():
+                key = (name, any(p[2] for p in pools))
+                amount = weight(tasks.job, view.types[name]) * tasks.count
+                totals[key] = totals.get(key, 0.0) + amount
         for tasks, usable in choices:
             job = tasks.job
             best: tuple[float, str, tuple[Pool, ...]] | None = None
@@ -310,7 +314,8 @@
                 price = min(shape.spot_price if p[2] else shape.price for p in pools)
                 # The price of the room a task takes, with its part of what would stay empty
                 # if all that waits and fits were put on this shape.
-                empty = math.ceil(totals[name]) / totals[name]
+                total = totals[(name, any(p[2] for p in pools))]
+                empty = math.ceil(total) / total
                 cost = price * weight(job, shape) * empty
                 if best is None or (cost, name) < best[:2]:
                     best = (cost, name, pools)
--- a/mosswalk/fleet/steward.py
+++ b/mosswalk/fleet/steward.py
@@ -776,6 +776,8 @@
             shape = self.book.types.get(machine.type)
             if machine.phase == "up" or machine.releasing or shape is None:
                 continue
+            if now_us - machine.since_us < _TAKEOVER_US:
+                continue
             if now_us - machine.rented_us > self._boot_patience * to_us(shape.boot_s):
                 self._release(machine, "never came up")
 
@@ -819,7 +821,10 @@
                 self._release(machine, "failed")
                 continue
             if machine is None:
-                machine = self._adopt(row.name, row.type, row.zone, row.spot, "booting")
+                # One that runs may have had its say to the leader before us; it is not late in
+                # coming up, and if it is dead its silence will show.
+                phase = "up" if row.phase == "running" else "booting"
+                machine = self._adopt(row.name, row.type, row.zone, row.spot, phase)
                 machine.rented_us = now_us - to_us(row.held_s)
                 log.info("machine %s (%s, %s) listed, not known: taken over", row.name,
                          row.type, row.zone)  # fmt: skip
--- a/tests/test_factory.py
+++ b/tests/test_factory.py
@@ -213,3 +213,18 @@
     gone = to_cordon(machines)
     moved = sum(m.used_cpus for m in machines if m.machine in gone)
     assert moved <= sum(m.free_cpus for m in machines if m.machine not in gone)
+
+
+def test_steady_work_does_not_fill_a_large_machine_with_what_waits_for_spot_ones():
+    """Seen in a bench day: a few replicas were given the dearest machine for its whole length."""
+    types = {
+        "small": shape(price=0.26, spot_price=0.1),
+        "big": shape("big", cpus=64.0, memory_gb=512.0, price=4.8, spot_price=1.0),
+    }
+    batch = waiting(40)
+    batch.patient = True
+    seen = View(0, types, [], [waiting(4, spot=False, kind="daemon"), batch], 9)
+    rents = Factory(FactoryTuning(high_dwell_s=0.0)).decide(seen)
+    pools = {pool for rent in rents for pool in rent.pools}
+    assert not any(name == "big" and not spot for name, _, spot in pools)
+    assert any(name == "small" and not spot for name, _, spot in pools)
