--- a/mosswalk/config/operator.py
+++ b/mosswalk/config/operator.py
@@ -23,12 +23,12 @@
     load_high: float = 1.02
     load_low: float = 0.95
     high_dwell_s: float = 0.5
-    low_dwell_s: float = 12.0
+    low_dwell_s: float = 4.0
     most_rented: int = 12
     most_returned: int = 2
     weight_of_time: float = 0.3
     pool_cap: int = 12
-    idle_keep_s: float = 10.0
+    idle_keep_s: float = 3.0
     # Work that may use spot machines waits this long before steady ones are rented for it.
     steady_after_s: float = 30.0
 
