--- a/mosswalk/fleet/steward.py
+++ b/mosswalk/fleet/steward.py
@@ -38,7 +38,14 @@
 from mosswalk.leadership.actor import Leadership
 from mosswalk.placement.owner import Owner
 from mosswalk.placement.preemption import Victim, choose_victims
-from mosswalk.placement.queues import TeamQueue, Usage, serve_in_turn, usage_by_team, within
+from mosswalk.placement.queues import (
+    TeamQueue,
+    Urgency,
+    Usage,
+    serve_in_turn,
+    usage_by_team,
+    within,
+)
 from mosswalk.placement.rooms import Room, zone_rule
 from mosswalk.store import records
 from mosswalk.store.client import ConflictError, RefusedError, UnknownOutcomeError
@@ -171,6 +178,7 @@
         self._session = session
         self._clock = clock
         self._rng = rng
+        self._urgency = Urgency(settings.params.objectives)
         self._teams = {team.name: team for team in settings.params.teams}
         self._shares = {
             name: settings.tuning.shares.get(name) or max(1.0, team.cpus)
@@ -631,7 +639,7 @@
             jobs.setdefault(job.spec.team, []).append(job)
         queues = [
             TeamQueue(team, jobs.get(name, ()), usage.get(name) or Usage(), zones,
-                      self._failed_on, {})
+                      self._failed_on, {}, self._urgency, self._clock.wall_us())
             for name, team in self._teams.items()
             if term.owners.get(name) not in busy and self._cool.get(name, 0) <= now_us
         ]  # fmt: skip
--- a/mosswalk/placement/owner.py
+++ b/mosswalk/placement/owner.py
@@ -17,7 +17,7 @@
 from mosswalk.jobs.board import Board
 from mosswalk.jobs.state import Draft, split_task_name
 from mosswalk.leadership.actor import Leadership
-from mosswalk.placement.queues import TeamQueue, Usage, usage_by_team
+from mosswalk.placement.queues import TeamQueue, Urgency, Usage, usage_by_team
 from mosswalk.placement.rooms import room_of
 from mosswalk.store import records
 from mosswalk.store.client import ConflictError, RefusedError, UnknownOutcomeError
@@ -54,6 +54,7 @@
         self._clock = clock
         self._rng = rng
         self._ops = settings.params.state.txn_ops
+        self._urgency = Urgency(settings.params.objectives)
         self._teams = {team.name: team for team in settings.params.teams}
         self._outcomes: dict[tuple[str, int], Outcome] = {}
         self._offers: list[tuple[Offer, asyncio.Future[OfferAnswer]]] = []
@@ -191,7 +192,9 @@
             for job in self._board.jobs.values()
             if job.spec.team == team.name and job.id not in drafts
         ]
-        queue = TeamQueue(team, jobs, own, zones, self._avoid, held)
+        queue = TeamQueue(
+            team, jobs, own, zones, self._avoid, held, self._urgency, self._clock.wall_us()
+        )
         placed = 0
         while (placing := queue.place_one(rooms)) is not None:
             draft = drafts.get(placing.job.id)
--- a/mosswalk/placement/queues.py
+++ b/mosswalk/placement/queues.py
@@ -5,14 +5,46 @@
 from collections.abc import Iterable, Iterator, Mapping
 from dataclasses import dataclass
 
-from mosswalk.config import Team
+from mosswalk.actors import to_us
+from mosswalk.config import Objective, Team
 from mosswalk.jobs.state import Job, milli_room
 from mosswalk.placement.rooms import Room, ZoneRule, best_room, zone_rule
 
 
-def queue_order(job: Job) -> tuple[int, int, int, str]:
-    """Priority first, then the earliest deadline, then the earliest arrival."""
-    return (job.rank, job.due_us(), job.record.submitted_us, job.id)
+_UNTIMED_US = 600_000_000
+
+
+class Urgency:
+    """The order of a team's queue: priority first, then what can still be in time.
+
+    A job that can't meet any of its times any more gives way to those that can: serving it first
+    would only make them late too. Its own times are its deadline and the aims for its class.
+    """
+
+    def __init__(self, objectives: Iterable[Objective]) -> None:
+        self._within_us: dict[str, list[int]] = {}
+        for aim in objectives:
+            if aim.kind == "finished" and aim.job_class is not None and aim.within_s is not None:
+                self._within_us.setdefault(aim.job_class, []).append(to_us(aim.within_s))
+
+    def target_us(self, job: Job, wall_us: int) -> int | None:
+        """The first of its times that the job can still meet."""
+        submitted_us = job.record.submitted_us
+        times = [submitted_us + w for w in self._within_us.get(job.spec.job_class, ())]
+        if job.spec.deadline_s is not None:
+            times.append(job.due_us())
+        ready_us = wall_us + to_us(job.spec.estimate_s)
+        return min((t for t in times if t >= ready_us), default=None)
+
+    def key(self, job: Job, wall_us: int) -> tuple[int, bool, int, int, str]:
+        """Sorts a team's jobs."""
+        submitted_us = job.record.submitted_us
+        target_us = self.target_us(job, wall_us)
+        timed = job.spec.deadline_s is not None or job.spec.job_class in self._within_us
+        late = timed and target_us is None
+        # Work without a time of its own is neither hurried nor left behind for ever.
+        target_us = submitted_us + _UNTIMED_US if target_us is None else target_us
+        return (job.rank, late, target_us, submitted_us, job.id)
 
 
 @dataclass(slots=True)
@@ -67,6 +99,7 @@
     def __init__(
         self, team: Team, jobs: Iterable[Job], usage: Usage, zone_of: dict[str, str],
         avoid: Mapping[str, set[str]], held: Mapping[str, object],
+        urgency: Urgency, wall_us: int,
     ) -> None:  # fmt: skip
         self.team = team
         self.usage = Usage(usage.cpus, usage.gpus)
@@ -74,7 +107,7 @@
         self._avoid = avoid
         self._jobs = sorted(
             (j for j in jobs if j.open and j.pending_count() > 0 and j.id not in held),
-            key=queue_order,
+            key=lambda job: urgency.key(job, wall_us),
         )
         self._at = 0
         self._pending: Iterator[int] | None = None
