--- a/mosswalk/placement/queues.py
+++ b/mosswalk/placement/queues.py
@@ -10,7 +10,6 @@
 from mosswalk.jobs.state import Job, milli_room
 from mosswalk.placement.rooms import Room, ZoneRule, best_room, zone_rule
 
-
 _UNTIMED_US = 600_000_000
 
 
