--- a/mosswalk/fleet/steward.py
+++ b/mosswalk/fleet/steward.py
@@ -33,6 +33,7 @@
 )
 from mosswalk.fleet.book import Book, Machine
 from mosswalk.fleet.orders import judge
+from mosswalk.fleet.suspicion import Patience, to_release
 from mosswalk.jobs.board import AttemptKey, Board
 from mosswalk.jobs.state import Job, milli, milli_room, split_task_name, task_name
 from mosswalk.leadership.actor import Leadership
@@ -59,6 +60,7 @@
 
 _PLAN_GAP_US = 30_000
 _TICK_US = 500_000
+_PAUSE_US = 2 * SECOND_US
 _RESEND_US = 700_000
 _PUSH_GAP_S = 0.004
 _PUSH_TIMEOUT_S = 3.0
@@ -186,7 +188,9 @@
         }
         workers = settings.params.workers
         self._silent_us = to_us(settings.tuning.fleet.silent_reports * workers.report_s)
-        self._lease_us = to_us(workers.lease_s)
+        self._patience = Patience(
+            to_us(2.2 * workers.report_s), self._silent_us, to_us(workers.lease_s)
+        )
         self._errors_to_distrust = settings.tuning.fleet.errors_to_distrust
         self._boot_patience = settings.tuning.fleet.boot_patience
         self._period_us = to_us(settings.tuning.factory.period_s)
@@ -196,6 +200,7 @@
         self.cloud: CloudCaller | None = None
         self._leading = False
         self._since_us = 0
+        self._ticked_us = 0
         self._listed = False
         self._asked_list_us = 0
         self._asked_types_us = 0
@@ -274,7 +279,7 @@
         if leads and not self._leading:
             log.info("leading in term %d", self._leadership.epoch())
             self._leading = True
-            self._since_us = self._clock.now_us()
+            self._since_us = self._ticked_us = self._clock.now_us()
             self._listed = False
             self._asked_list_us = self._asked_types_us = -_TYPES_US
             for machine in list(self._board.by_machine):
@@ -714,6 +719,12 @@
 
     def _tick(self) -> None:
         now_us = self._clock.now_us()
+        if now_us - self._ticked_us > _PAUSE_US:
+            # We were stopped ourselves, so others' silence tells nothing yet. Seen in a recorded
+            # day: a leader woke after 20 s and released every machine, deposed as it was.
+            log.info("was stopped for %.1f s", (now_us - self._ticked_us) / SECOND_US)
+            self._since_us = now_us
+        self._ticked_us = now_us
         if self.cloud is None or not self._leadership.may_answer():
             return
         if not self.book.types or now_us - self._asked_types_us > _TYPES_US:
@@ -768,17 +779,16 @@
     def _suspect(self) -> None:
         """Release machines that say nothing: the cloud's answer is the proof they are gone."""
         now_us = self._clock.now_us()
-        if now_us - self._since_us < _TAKEOVER_US:
+        if now_us - self._since_us < _TAKEOVER_US or not self._leadership.may_start():
             return
-        up = [m for m in self.book.machines.values() if m.phase == "up" and not m.releasing]
-        silent = [m for m in up if now_us - max(m.seen_us, self._since_us) > self._silent_us]
-        # Many silent at once is more likely a cut, or our own trouble, than many dead ones:
-        # their tasks may be well, so wait until their leases have run out anyway.
-        many = len(silent) >= 3 and len(silent) * 2 > len(up)
-        for machine in silent:
+        silences = {
+            m.name: now_us - max(m.seen_us, self._since_us)
+            for m in self.book.machines.values()
+            if m.phase == "up" and not m.releasing
+        }
+        for name in to_release(silences, self._patience):
+            machine = self.book.machines[name]
             silence_us = now_us - machine.seen_us
-            if many and silence_us < self._lease_us + self._silent_us:
-                continue
             self._release(machine, f"silent for {silence_us / SECOND_US:.1f} s")
         for machine in list(self.book.machines.values()):
             shape = self.book.types.get(machine.type)
--- /dev/null
+++ b/mosswalk/fleet/suspicion.py
@@ -0,0 +1,34 @@
+"""Which silent machines to release: a pure decision.
+
+Releasing is the proof that a machine's tasks are gone, but it also ends tasks that were well.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class Patience:
+    """How long to wait, in microseconds."""
+
+    # More than one report has been missed.
+    quiet_us: int
+    # A lone machine this silent is taken for dead.
+    silent_us: int
+    # Its lease has run out, and with it all its tasks.
+    lease_us: int
+
+
+def to_release(silences: Mapping[str, int], patience: Patience) -> list[str]:
+    """Machines to release, by how long each has been silent.
+
+    When many are quiet at once, the trouble is more likely a cut, or our own, than many dead
+    machines. Their tasks may be well, so these wait until their leases have ended anyway. Quiet
+    counts, not silent: machines report at different moments, so a cut shows in a few at a time.
+    """
+    quiet = sum(1 for silence_us in silences.values() if silence_us > patience.quiet_us)
+    many = quiet >= 3 and quiet * 3 > len(silences)
+    limit_us = patience.lease_us + patience.silent_us if many else patience.silent_us
+    return sorted(name for name, silence_us in silences.items() if silence_us > limit_us)
--- /dev/null
+++ b/tests/test_suspicion.py
@@ -0,0 +1,32 @@
+from hypothesis import given
+from hypothesis import strategies as st
+
+from mosswalk.fleet.suspicion import Patience, to_release
+
+S = 1_000_000
+PATIENCE = Patience(quiet_us=4 * S, silent_us=7 * S, lease_us=16 * S)
+
+
+def seconds(**silences):
+    return {name: s * S for name, s in silences.items()}
+
+
+def test_a_lone_silent_machine_is_released_and_a_late_report_is_forgiven():
+    assert to_release(seconds(a=8, b=1, c=2, d=0), PATIENCE) == ["a"]
+    assert to_release(seconds(a=6, b=1), PATIENCE) == []
+
+
+def test_a_cut_that_shows_in_one_machine_first_releases_none():
+    """A recorded day: eleven machines fell silent within two seconds and all were released."""
+    assert to_release(seconds(a=8, b=6, c=5, d=1, e=0), PATIENCE) == []
+
+
+def test_many_silent_machines_go_once_their_leases_have_ended():
+    assert to_release(seconds(a=24, b=24, c=22, d=22), PATIENCE) == ["a", "b"]
+
+
+@given(st.dictionaries(st.text("abcdefgh", min_size=1, max_size=2), st.integers(0, 40 * S)))
+def test_none_goes_before_its_time_and_the_dead_go_in_the_end(silences):
+    gone = to_release(silences, PATIENCE)
+    assert all(silences[name] > 7 * S for name in gone)
+    assert all(name in gone for name, s in silences.items() if s > 23 * S)
