Split renting and messages from the leader's actor; no wait for the list after a first term

The actor had grown past a thousand lines. With it: a second term a few seconds after the first made the factory wait for the machine list, though nobody had rented before (first rent at 9 s instead of 3).

--- /dev/null
+++ b/mosswalk/fleet/messages.py
@@ -0,0 +1,51 @@
+"""What the leader's actor is told."""
+
+from __future__ import annotations
+
+import asyncio
+
+from msgspec import Struct
+
+from mosswalk.cloud.actor import CloudNews
+from mosswalk.wire.peers import OfferAnswer
+from mosswalk.wire.workers import Report
+
+
+class ReportIn(Struct):
+    """A worker's report, with where its answer goes."""
+
+    report: Report
+    answer: asyncio.Future[tuple[int, bytes]]
+
+
+class PushDone(Struct):
+    """What became of orders sent to a worker's own address."""
+
+    machine: str
+    epoch: int
+    tenure: int
+    starts: tuple[tuple[str, int], ...]
+    sent: bool
+    report: Report | None
+
+
+class OfferDone(Struct):
+    """An owner has placed on an offer, or has not been heard of."""
+
+    node: str
+    answer: OfferAnswer | None
+
+
+class Plan(Struct):
+    """Time to look at what waits and what is free."""
+
+
+class Tick(Struct):
+    """Time for what happens on its own."""
+
+
+class TermBegan(Struct):
+    """The term record has changed."""
+
+
+Message = ReportIn | PushDone | OfferDone | Plan | Tick | TermBegan | CloudNews
--- /dev/null
+++ b/mosswalk/fleet/renting.py
@@ -0,0 +1,208 @@
+"""The leader's view of demand and machines for the factory, and what the factory decides."""
+
+from __future__ import annotations
+
+import logging
+from collections import Counter
+from collections.abc import Callable, Iterable
+
+from mosswalk.actors import Clock, to_us
+from mosswalk.cloud.actor import Rented
+from mosswalk.config import Settings
+from mosswalk.factory.cordon import Occupancy, to_cordon
+from mosswalk.factory.loop import (
+    Factory,
+    GiveBack,
+    MachineView,
+    Pool,
+    Rent,
+    View,
+    WaitingTasks,
+)
+from mosswalk.fleet.book import Book, Machine
+from mosswalk.jobs.board import Board
+from mosswalk.jobs.state import Job, milli, milli_room
+from mosswalk.placement.queues import TeamQueue, Usage, usage_by_team, within
+from mosswalk.placement.rooms import Room, zone_rule
+
+log = logging.getLogger(__name__)
+
+
+class Renting:
+    """Shows the factory what there is, and keeps what it has asked for."""
+
+    def __init__(self, settings: Settings, book: Book, board: Board, clock: Clock) -> None:
+        self._tuning = settings.tuning.factory
+        self._teams = {team.name: team for team in settings.params.teams}
+        self._book = book
+        self._board = board
+        self._clock = clock
+        self.reset()
+
+    def reset(self) -> None:
+        """Forget everything: another controller led meanwhile."""
+        self._factory = Factory(self._tuning)
+        self._stuck: dict[str, list[Job]] = {}
+        self._stuck_since: dict[str, int] = {}
+        self.cordoned: set[str] = set()
+        # Rentals asked for and not yet answered: they count as requested machines, or a slow
+        # cloud would be asked for the same again each period.
+        self._asked: Counter[Pool] = Counter()
+
+    def note_stuck(self, queues: Iterable[TeamQueue]) -> None:
+        """Jobs whose next task found no room.
+
+        Teams whose owner is busy keep what was found last time: a gap would restart the
+        factory's dwell and every job's patience.
+        """
+        now_us = self._clock.now_us()
+        self._stuck.update({queue.team.name: queue.stuck for queue in queues})
+        self._stuck_since = {
+            job.id: self._stuck_since.get(job.id, now_us)
+            for stuck in self._stuck.values()
+            for job in stuck
+        }
+
+    def waiting(self) -> list[WaitingTasks]:
+        """Tasks that found no room, as far as their team's limit lets them run."""
+        zones = self._book.zone_of()
+        usage = usage_by_team(self._board.jobs.values())
+        waiting: list[WaitingTasks] = []
+        for stuck in [job for jobs in self._stuck.values() for job in jobs]:
+            job = self._board.jobs.get(stuck.id)
+            if job is None:
+                continue
+            team = self._teams.get(job.spec.team)
+            rule = zone_rule(job, zones)
+            if team is None or rule is None or not job.open:
+                continue
+            own = usage.setdefault(team.name, Usage())
+            patient = self._patient(job, within(team, own, job, limit=False))
+            count = 0
+            for _ in range(min(job.pending_count(), 2000)):
+                if not within(team, own, job, limit=True):
+                    break
+                own.add(job)
+                count += 1
+            if count:
+                waiting.append(WaitingTasks(job, count, rule, patient))
+        return waiting
+
+    def _patient(self, job: Job, guaranteed: bool) -> bool:
+        """Whether a job's tasks can wait for spot machines to come free or be rented."""
+        if not job.spec.spot or job.rank < 2 or guaranteed:
+            return False
+        now_us = self._clock.now_us()
+        waited_us = now_us - self._stuck_since.get(job.id, now_us)
+        # Idle work waits twice as long: nobody is held up by it.
+        patience_s = self._tuning.steady_after_s * (job.rank - 1)
+        if waited_us >= to_us(patience_s):
+            return False
+        boot_s = max((t.boot_s for t in self._book.types.values()), default=0.0)
+        # Estimates are often short by half.
+        needed_us = to_us(1.5 * job.spec.estimate_s + boot_s)
+        return job.due_us() - self._clock.wall_us() > needed_us
+
+    def _view(self, waiting: list[WaitingTasks], calls: int) -> View:
+        machines: list[MachineView] = []
+        for machine in self._book.machines.values():
+            if machine.releasing or machine.rumoured:
+                continue
+            shape = self._book.types.get(machine.type)
+            load = 0.0
+            if shape is not None:
+                cpus = memory = 0
+                for key in self._board.attempts_on(machine.name):
+                    job = self._board.jobs.get(key[0])
+                    if job is not None:
+                        cpus += job.cpus
+                        memory += job.memory
+                load = max(
+                    cpus / max(1, milli(shape.cpus)), memory / max(1, milli(shape.memory_gb))
+                )
+            machines.append(
+                MachineView(
+                    machine.name, (machine.type, machine.zone, machine.spot), machine.phase,
+                    machine.since_us, machine.rented_us, machine.notice_until_us is None,
+                    machine.idle_since_us, load, machine.name in self.cordoned,
+                )
+            )  # fmt: skip
+        now_us = self._clock.now_us()
+        for pool, count in self._asked.items():
+            for i in range(count):
+                name = f"asked {i} of {pool}"
+                machines.append(
+                    MachineView(name, pool, "requested", now_us, now_us, True, None, 0.0)
+                )
+        return View(now_us, self._book.types, machines, waiting, calls)
+
+    def _occupancy(self, room_of: Callable[[Machine], Room | None]) -> list[Occupancy]:
+        found: list[Occupancy] = []
+        for machine in self._book.machines.values():
+            room, shape = room_of(machine), self._book.types.get(machine.type)
+            if room is None or shape is None:
+                continue
+            jobs = [self._board.jobs.get(k[0]) for k in self._board.attempts_on(machine.name)]
+            found.append(
+                Occupancy(
+                    machine.name,
+                    milli_room(shape.cpus) - room.cpus, max(0, room.cpus),
+                    milli_room(shape.memory_gb) - room.memory, max(0, room.memory),
+                    shape.spot_price if machine.spot else shape.price,
+                    not any(job is not None and job.spec.kind == "daemon" for job in jobs),
+                )
+            )  # fmt: skip
+        return found
+
+    def came_up(self, machine: Machine, calls: int) -> list[GiveBack]:
+        """A machine reports for the first time; what its rent's other copies give back."""
+        now_us = self._clock.now_us()
+        took_us = now_us - machine.rented_us
+        machine.phase = "up"
+        machine.since_us = machine.idle_since_us = now_us
+        if machine.group is None:
+            return []
+        pool = (machine.type, machine.zone, machine.spot)
+        self._factory.booted(pool, took_us)
+        group, machine.group = machine.group, None
+        return self._factory.group_booted(group, pool, self._view(self.waiting(), calls))
+
+    def rented(self, message: Rented) -> None:
+        """The cloud has answered a rental."""
+        now_us = self._clock.now_us()
+        pool = message.pool
+        self._asked -= Counter({pool: len(message.groups)})
+        if message.machines:
+            self._factory.granted(pool, now_us)
+        if len(message.machines) < len(message.groups):
+            log.info(
+                "pool %s: %d of %d to be had",
+                "/".join(map(str, pool)), len(message.machines), len(message.groups),
+            )  # fmt: skip
+            self._factory.refused(pool, now_us)
+        for group in message.groups[len(message.machines) :]:
+            self._factory.group_short(group, pool)
+        for name, group in zip(message.machines, message.groups, strict=False):
+            log.info("rented %s in %s (group %d)", name, "/".join(map(str, pool)), group)
+            if name not in self._book.machines and not self._book.gone(name):
+                machine = Machine(name, *pool, "requested", now_us, now_us)
+                machine.group = group
+                self._book.machines[name] = machine
+
+    def turn(
+        self, room_of: Callable[[Machine], Room | None], calls: int
+    ) -> tuple[dict[Pool, tuple[int, ...]], list[GiveBack]]:
+        """One turn of the loops: rents by pool, and machines to return."""
+        self.cordoned = to_cordon(self._occupancy(room_of))
+        wanted: dict[Pool, tuple[int, ...]] = {}
+        returned: list[GiveBack] = []
+        for decision in self._factory.decide(self._view(self.waiting(), calls)):
+            if isinstance(decision, Rent):
+                pools = ", ".join("/".join(map(str, p)) for p in decision.pools)
+                log.info("renting, group %d: %s", decision.group, pools)
+                for pool in decision.pools:
+                    wanted[pool] = (*wanted.get(pool, ()), decision.group)
+                    self._asked[pool] += 1
+            else:
+                returned.append(decision)
+        return wanted, returned
--- a/mosswalk/fleet/steward.py
+++ b/mosswalk/fleet/steward.py
@@ -9,33 +9,35 @@
 import asyncio
 import logging
 import random
-from collections import Counter
 from collections.abc import Awaitable, Iterable
 from dataclasses import dataclass, field
 from typing import Protocol
 
 import aiohttp
 import msgspec
-from msgspec import Raw, Struct
+from msgspec import Raw
 
 from mosswalk.actors import SECOND_US, Actor, Clock, to_s, to_us
-from mosswalk.cloud.actor import CloudCaller, CloudNews, Listed, Released, Rented, Typed
+from mosswalk.cloud.actor import CloudCaller, Listed, Released, Rented, Typed
 from mosswalk.config import Settings
-from mosswalk.factory.cordon import Occupancy, to_cordon
 from mosswalk.factory.loop import (
-    Factory,
     GiveBack,
-    MachineView,
-    Pool,
-    Rent,
-    View,
-    WaitingTasks,
 )
 from mosswalk.fleet.book import Book, Machine
+from mosswalk.fleet.messages import (
+    Message,
+    OfferDone,
+    Plan,
+    PushDone,
+    ReportIn,
+    TermBegan,
+    Tick,
+)
 from mosswalk.fleet.orders import judge
+from mosswalk.fleet.renting import Renting
 from mosswalk.fleet.suspicion import Patience, to_release
 from mosswalk.jobs.board import AttemptKey, Board
-from mosswalk.jobs.state import Job, milli, milli_room, split_task_name, task_name
+from mosswalk.jobs.state import Job, milli_room, split_task_name, task_name
 from mosswalk.leadership.actor import Leadership
 from mosswalk.placement.owner import Owner
 from mosswalk.placement.preemption import Victim, choose_victims
@@ -47,7 +49,7 @@
     usage_by_team,
     within,
 )
-from mosswalk.placement.rooms import Room, zone_rule
+from mosswalk.placement.rooms import Room
 from mosswalk.store import records
 from mosswalk.store.client import ConflictError, RefusedError, UnknownOutcomeError
 from mosswalk.store.mirror import Mirror
@@ -78,46 +80,6 @@
 _LATE_START_US = 5 * SECOND_US
 
 
-class ReportIn(Struct):
-    """A worker's report, with where its answer goes."""
-
-    report: Report
-    answer: asyncio.Future[tuple[int, bytes]]
-
-
-class PushDone(Struct):
-    """What became of orders sent to a worker's own address."""
-
-    machine: str
-    epoch: int
-    tenure: int
-    starts: tuple[tuple[str, int], ...]
-    sent: bool
-    report: Report | None
-
-
-class OfferDone(Struct):
-    """An owner has placed on an offer, or has not been heard of."""
-
-    node: str
-    answer: OfferAnswer | None
-
-
-class Plan(Struct):
-    """Time to look at what waits and what is free."""
-
-
-class Tick(Struct):
-    """Time for what happens on its own."""
-
-
-class TermBegan(Struct):
-    """The term record has changed."""
-
-
-Message = ReportIn | PushDone | OfferDone | Plan | Tick | TermBegan | CloudNews
-
-
 class OwnerLink(Protocol):
     """How owners elsewhere are spoken to."""
 
@@ -196,12 +158,13 @@
         self._period_us = to_us(settings.tuning.factory.period_s)
         self._list_lag_us = to_us(settings.params.cloud.list_lag_s)
         self.book = Book()
-        self._factory = Factory(settings.tuning.factory)
+        self._renting = Renting(settings, self.book, board, clock)
         self.cloud: CloudCaller | None = None
         self._leading = False
         self._since_us = 0
         self._ticked_us = 0
         self._listed = False
+        self._first = False
         self._asked_list_us = 0
         self._asked_types_us = 0
         self._factory_us = 0
@@ -214,13 +177,7 @@
         self._pushes: dict[str, _Push] = {}
         self._late_starts: dict[AttemptKey, int] = {}
         self._failed_on: dict[str, set[str]] = {}
-        self._stuck: dict[str, list[Job]] = {}
-        self._stuck_since: dict[str, int] = {}
         self._claims: dict[str, tuple[int, frozenset[str]]] = {}
-        self._cordoned: set[str] = set()
-        # Rentals asked for and not yet answered: they count as requested machines, or a slow
-        # cloud would be asked for the same again each period.
-        self._asked: Counter[Pool] = Counter()
         board.on_attempt.append(self._attempt_appeared)
         mirror.after_batch(self._poke)
         leadership.on_term.append(lambda: self.tell(TermBegan()))
@@ -251,7 +208,7 @@
             case Released() if self._leading:
                 self._released(message.machines)
             case Rented() if self._leading:
-                self._rented(message)
+                self._renting.rented(message)
             case Typed() if self._leading:
                 self._typed(message.types)
             case _:
@@ -280,6 +237,8 @@
             log.info("leading in term %d", self._leadership.epoch())
             self._leading = True
             self._since_us = self._ticked_us = self._clock.now_us()
+            # Nobody led before us, so nobody rented anything: no need to wait for the list.
+            self._first = self._leadership.epoch() <= 1
             self._listed = False
             self._asked_list_us = self._asked_types_us = -_TYPES_US
             for machine in list(self._board.by_machine):
@@ -293,15 +252,12 @@
             log.info("leading no more")
             self._leading = False
             self.book.reset()
-            self._factory = Factory(self._settings.tuning.factory)
+            self._renting.reset()
             self._reservations.clear()
             self._told.clear()
             self._stops.clear()
             self._pushes.clear()
             self._late_starts.clear()
-            self._stuck.clear()
-            self._cordoned = set()
-            self._asked.clear()
             if self.cloud is not None:
                 self.cloud.forget()
 
@@ -371,21 +327,14 @@
         return judgement.orders
 
     def _came_up(self, machine: Machine, report: Report) -> None:
-        now_us = self._clock.now_us()
-        took_us = now_us - machine.rented_us
+        took_us = self._clock.now_us() - machine.rented_us
         log.info("machine %s (%s, %s) is up after %.1f s", machine.name, report.type,
                  report.zone, took_us / SECOND_US)  # fmt: skip
-        machine.phase = "up"
-        machine.since_us = now_us
-        machine.idle_since_us = now_us
-        pool = (machine.type, machine.zone, machine.spot)
-        if machine.group is not None:
-            self._factory.booted(pool, took_us)
-            for back in self._factory.group_booted(
-                machine.group, pool, self._view(self._waiting())
-            ):
-                self._give_back(back)
-            machine.group = None
+        for back in self._renting.came_up(machine, self._calls_left()):
+            self._give_back(back)
+
+    def _calls_left(self) -> int:
+        return self.cloud.calls_left() if self.cloud is not None else 0
 
     def _learn(self, machine: Machine, report: Report) -> None:
         """What new exits tell of the machine, and running tasks of its cached images."""
@@ -587,7 +536,7 @@
             images=frozenset(machine.images),
             core_price=price / max(1.0, shape.cpus),
             fetch_s_per_gb=1.0 / max(0.001, shape.fetch_gb_per_s),
-            cordoned=machine.name in self._cordoned,
+            cordoned=machine.name in self._renting.cordoned,
             claimed_by=self._claimants(machine.name),
         )
         attempts = self._board.attempts_on(machine.name)
@@ -661,14 +610,7 @@
                 tuple(room.images), room.core_price,
                 room.fetch_s_per_gb,
             )  # fmt: skip
-        # Teams whose owner is busy keep what was found last time: a gap would restart the
-        # factory's dwell and every job's patience.
-        self._stuck.update({queue.team.name: queue.stuck for queue in queues})
-        self._stuck_since = {
-            job.id: self._stuck_since.get(job.id, now_us)
-            for stuck in self._stuck.values()
-            for job in stuck
-        }
+        self._renting.note_stuck(queues)
         by_node: dict[str, dict[str, list[SlotOffer]]] = {}
         for (team, _), slot in slots.items():
             node = term.owners.get(team)
@@ -742,6 +684,8 @@
         self._watch_late_starts()
         for key in [k for k in self._stops if not self._board.is_live(k)]:
             del self._stops[key]
+        for name in [n for n, (until_us, _) in self._claims.items() if until_us < now_us]:
+            del self._claims[name]
         for job_id in [j for j in self._failed_on if j not in self._board.jobs]:
             del self._failed_on[job_id]
         if now_us - self._preempt_us > _PREEMPT_US:
@@ -756,7 +700,7 @@
         """Whether the book can be believed: else machines we don't know of are rented again."""
         if not self._listed or not self._leadership.may_start():
             return False
-        if self._leadership.epoch() <= 1:
+        if self._first:
             return True
         return self._clock.now_us() - self._since_us > max(4 * SECOND_US, self._list_lag_us)
 
@@ -882,27 +826,6 @@
         self._tell_outcomes()
         self._poke()
 
-    def _rented(self, message: Rented) -> None:
-        now_us = self._clock.now_us()
-        pool = message.pool
-        self._asked -= Counter({pool: len(message.groups)})
-        if message.machines:
-            self._factory.granted(pool, now_us)
-        if len(message.machines) < len(message.groups):
-            log.info(
-                "pool %s: %d of %d to be had",
-                "/".join(map(str, pool)), len(message.machines), len(message.groups),
-            )  # fmt: skip
-            self._factory.refused(pool, now_us)
-        for group in message.groups[len(message.machines) :]:
-            self._factory.group_short(group, pool)
-        for name, group in zip(message.machines, message.groups, strict=False):
-            log.info("rented %s in %s (group %d)", name, "/".join(map(str, pool)), group)
-            if name not in self.book.machines and not self.book.gone(name):
-                machine = Machine(name, *pool, "requested", now_us, now_us)
-                machine.group = group
-                self.book.machines[name] = machine
-
     def _typed(self, types: tuple[MachineType, ...]) -> None:
         self.book.types = {t.name: t for t in types}
         # Others judge submissions by what is written here; prices move and do not matter there.
@@ -938,49 +861,9 @@
 
     # Preemption and the factory.
 
-    def _waiting(self) -> list[WaitingTasks]:
-        """Tasks that found no room, as far as their team's limit lets them run."""
-        zones = self.book.zone_of()
-        usage = usage_by_team(self._board.jobs.values())
-        waiting: list[WaitingTasks] = []
-        for stuck in [job for jobs in self._stuck.values() for job in jobs]:
-            job = self._board.jobs.get(stuck.id)
-            if job is None:
-                continue
-            team = self._teams.get(job.spec.team)
-            rule = zone_rule(job, zones)
-            if team is None or rule is None or not job.open:
-                continue
-            own = usage.setdefault(team.name, Usage())
-            patient = self._patient(job, within(team, own, job, limit=False))
-            count = 0
-            for _ in range(min(job.pending_count(), 2000)):
-                if not within(team, own, job, limit=True):
-                    break
-                own.add(job)
-                count += 1
-            if count:
-                waiting.append(WaitingTasks(job, count, rule, patient))
-        return waiting
-
-    def _patient(self, job: Job, guaranteed: bool) -> bool:
-        """Whether a job's tasks can wait for spot machines to come free or be rented."""
-        if not job.spec.spot or job.rank < 2 or guaranteed:
-            return False
-        now_us = self._clock.now_us()
-        waited_us = now_us - self._stuck_since.get(job.id, now_us)
-        # Idle work waits twice as long: nobody is held up by it.
-        patience_s = self._settings.tuning.factory.steady_after_s * (job.rank - 1)
-        if waited_us >= to_us(patience_s):
-            return False
-        boot_s = max((t.boot_s for t in self.book.types.values()), default=0.0)
-        # Estimates are often short by half.
-        needed_us = to_us(1.5 * job.spec.estimate_s + boot_s)
-        return job.due_us() - self._clock.wall_us() > needed_us
-
     def _preempt(self) -> None:
         """Stop less urgent attempts for tasks that found no room."""
-        urgent = [w for w in self._waiting() if w.job.rank < 3]
+        urgent = [w for w in self._renting.waiting() if w.job.rank < 3]
         if not urgent or not self._leadership.may_start():
             return
         usage = usage_by_team(self._board.jobs.values())
@@ -1026,73 +909,10 @@
                 order = Order("kill", task_name(key[0], key[1]), key[2], grace_s)
                 self._push(there, order)
 
-    def _view(self, waiting: list[WaitingTasks]) -> View:
-        machines: list[MachineView] = []
-        for machine in self.book.machines.values():
-            if machine.releasing or machine.rumoured:
-                continue
-            shape = self.book.types.get(machine.type)
-            load = 0.0
-            if shape is not None:
-                cpus = memory = 0
-                for key in self._board.attempts_on(machine.name):
-                    job = self._board.jobs.get(key[0])
-                    if job is not None:
-                        cpus += job.cpus
-                        memory += job.memory
-                load = max(
-                    cpus / max(1, milli(shape.cpus)), memory / max(1, milli(shape.memory_gb))
-                )
-            machines.append(
-                MachineView(
-                    machine.name, (machine.type, machine.zone, machine.spot), machine.phase,
-                    machine.since_us, machine.rented_us, machine.notice_until_us is None,
-                    machine.idle_since_us, load, machine.name in self._cordoned,
-                )
-            )  # fmt: skip
-        now_us = self._clock.now_us()
-        for pool, count in self._asked.items():
-            for i in range(count):
-                name = f"asked {i} of {pool}"
-                machines.append(
-                    MachineView(name, pool, "requested", now_us, now_us, True, None, 0.0)
-                )
-        calls = self.cloud.calls_left() if self.cloud is not None else 0
-        return View(now_us, self.book.types, machines, waiting, calls)
-
-    def _occupancy(self) -> list[Occupancy]:
-        found: list[Occupancy] = []
-        for machine in self.book.machines.values():
-            room, shape = self._room(machine), self.book.types.get(machine.type)
-            if room is None or shape is None:
-                continue
-            jobs = [self._board.jobs.get(k[0]) for k in self._board.attempts_on(machine.name)]
-            found.append(
-                Occupancy(
-                    machine.name,
-                    milli_room(shape.cpus) - room.cpus, max(0, room.cpus),
-                    milli_room(shape.memory_gb) - room.memory, max(0, room.memory),
-                    shape.spot_price if machine.spot else shape.price,
-                    not any(job is not None and job.spec.kind == "daemon" for job in jobs),
-                )
-            )  # fmt: skip
-        return found
-
     def _run_factory(self) -> None:
-        self._cordoned = to_cordon(self._occupancy())
-        wanted: dict[Pool, list[int]] = {}
-        for decision in self._factory.decide(self._view(self._waiting())):
-            if isinstance(decision, Rent):
-                log.info(
-                    "renting, group %d: %s",
-                    decision.group,
-                    ", ".join("/".join(map(str, p)) for p in decision.pools),
-                )
-                for pool in decision.pools:
-                    wanted.setdefault(pool, []).append(decision.group)
-            else:
-                self._give_back(decision)
+        wanted, returned = self._renting.turn(self._room, self._calls_left())
+        for back in returned:
+            self._give_back(back)
         if self.cloud is not None:
             for pool, groups in wanted.items():
-                self._asked[pool] += len(groups)
-                self.spawn(self.cloud.rent(tuple(groups), pool))
+                self.spawn(self.cloud.rent(groups, pool))
