--- a/mosswalk/config/operator.py
+++ b/mosswalk/config/operator.py
@@ -31,6 +31,8 @@
     idle_keep_s: float = 3.0
     # Work that may use spot machines waits this long before steady ones are rented for it.
     steady_after_s: float = 30.0
+    # Waiting work must fill this part of a new machine, if there are machines it can wait for.
+    least_fill: float = 0.5
 
 
 class FleetTuning(Struct, frozen=True):
--- a/mosswalk/factory/loop.py
+++ b/mosswalk/factory/loop.py
@@ -56,6 +56,8 @@
     rule: ZoneRule
     # May wait a while for spot machines rather than have steady ones rented.
     patient: bool = False
+    # Prod, or within a guarantee: not to wait for others to fill a machine with it.
+    urgent: bool = False
 
 
 @dataclass(slots=True)
@@ -272,7 +274,7 @@
                     rule.add(room.zone)
                     count -= 1
             if count:
-                left.append(WaitingTasks(tasks.job, count, rule, tasks.patient))
+                left.append(WaitingTasks(tasks.job, count, rule, tasks.patient, tasks.urgent))
         booting = {room.machine: room for room in rooms}
         for m in view.machines:
             if m.name in booting:
@@ -324,14 +326,24 @@
             _, name, pools = best
             amount = weight(job, view.types[name]) * tasks.count
             groups = shares.setdefault(name, [])
+            can_wait = not tasks.urgent and self._has_home(tasks, view)
             for group in groups:
                 if group.pools == pools:
-                    group.add(job, amount)
+                    group.add(job, amount, can_wait)
                     break
             else:
-                groups.append(_Group(pools, job.rank, amount, [job.spec.estimate_s]))
+                groups.append(_Group(pools, job.rank, amount, [job.spec.estimate_s], can_wait))
         return shares
 
+    @staticmethod
+    def _has_home(tasks: WaitingTasks, view: View) -> bool:
+        """Whether there is a machine that could run the tasks once it has room."""
+        return any(
+            m.usable and m.pool[0] in view.types and fits(tasks.job, view.types[m.pool[0]])
+            and _usable(tasks, [m.pool])
+            for m in view.machines
+        )  # fmt: skip
+
     def _rent(
         self, shape: MachineType, groups: list[_Group], view: View, calls: int
     ) -> tuple[list[Rent], int]:
@@ -342,6 +354,8 @@
         for machine in view.machines:
             counts[machine.pool] = counts.get(machine.pool, 0) + 1
         for group in sorted(groups, key=lambda g: g.rank):
+            if group.can_wait and group.weight < self._tuning.least_fill:
+                continue
             need = max(1, int(group.weight + 0.999))
             walltime_us = float(to_us(median(group.estimates)))
             while need > 0 and left > 0:
@@ -428,9 +442,12 @@
     rank: int
     weight: float
     estimates: list[float]
+    # A machine that would stay mostly empty is not rented for them.
+    can_wait: bool
 
-    def add(self, job: Job, amount: float) -> None:
+    def add(self, job: Job, amount: float, can_wait: bool) -> None:
         """Count more tasks."""
+        self.can_wait = self.can_wait and can_wait
         self.rank = min(self.rank, job.rank)
         self.weight += amount
         self.estimates.append(job.spec.estimate_s)
--- a/mosswalk/fleet/renting.py
+++ b/mosswalk/fleet/renting.py
@@ -77,7 +77,8 @@
             if team is None or rule is None or not job.open:
                 continue
             own = usage.setdefault(team.name, Usage())
-            patient = self._patient(job, within(team, own, job, limit=False))
+            guaranteed = within(team, own, job, limit=False)
+            patient = self._patient(job, guaranteed)
             count = 0
             for _ in range(min(job.pending_count(), 2000)):
                 if not within(team, own, job, limit=True):
@@ -85,7 +86,8 @@
                 own.add(job)
                 count += 1
             if count:
-                waiting.append(WaitingTasks(job, count, rule, patient))
+                urgent = guaranteed or job.rank == 0
+                waiting.append(WaitingTasks(job, count, rule, patient, urgent))
         return waiting
 
     def _patient(self, job: Job, guaranteed: bool) -> bool:
