--- a/mosswalk/config/operator.py
+++ b/mosswalk/config/operator.py
@@ -29,8 +29,8 @@
     weight_of_time: float = 0.3
     pool_cap: int = 12
     idle_keep_s: float = 3.0
-    # Work that may use spot machines waits this long before steady ones are rented for it.
-    steady_after_s: float = 30.0
+    # Steady machines for work that may use spot ones are to be up after it has waited this long.
+    steady_within_s: float = 45.0
     # Waiting work must fill this part of a new machine, if there are machines it can wait for.
     least_fill: float = 0.5
 
--- a/mosswalk/fleet/renting.py
+++ b/mosswalk/fleet/renting.py
@@ -96,11 +96,12 @@
             return False
         now_us = self._clock.now_us()
         waited_us = now_us - self._stuck_since.get(job.id, now_us)
-        # Idle work waits twice as long: nobody is held up by it.
-        patience_s = self._tuning.steady_after_s * (job.rank - 1)
+        boot_s = max((t.boot_s for t in self._book.types.values()), default=0.0)
+        # What counts for the work is when a steady machine would be up, so a slow boot leaves
+        # less patience. Idle work waits twice as long: nobody is held up by it.
+        patience_s = self._tuning.steady_within_s * (job.rank - 1) - boot_s
         if waited_us >= to_us(patience_s):
             return False
-        boot_s = max((t.boot_s for t in self._book.types.values()), default=0.0)
         # Estimates are often short by half.
         needed_us = to_us(1.5 * job.spec.estimate_s + boot_s)
         return job.due_us() - self._clock.wall_us() > needed_us
