Remove state that was written and never read

Found in reading the whole change: when the state service last served or refused, versions of chunks (the header guards them), random sources of the leader's actor and the owner.

--- a/mosswalk/fleet/steward.py
+++ b/mosswalk/fleet/steward.py
@@ -8,7 +8,6 @@
 
 import asyncio
 import logging
-import random
 from collections.abc import Awaitable, Iterable
 from dataclasses import dataclass, field
 from typing import Protocol
@@ -130,7 +129,7 @@
     def __init__(
         self, settings: Settings, mirror: Mirror, board: Board, writer: GroupWriter,
         leadership: Leadership, owner: Owner, peers: OwnerLink,
-        session: aiohttp.ClientSession, clock: Clock, rng: random.Random,
+        session: aiohttp.ClientSession, clock: Clock,
     ) -> None:  # fmt: skip
         super().__init__()
         self._settings = settings
@@ -142,7 +141,6 @@
         self._peers = peers
         self._session = session
         self._clock = clock
-        self._rng = rng
         self._urgency = Urgency(settings.params.objectives)
         self._teams = {team.name: team for team in settings.params.teams}
         self._shares = {
--- a/mosswalk/jobs/board.py
+++ b/mosswalk/jobs/board.py
@@ -23,7 +23,7 @@
     def __init__(self, mirror: Mirror) -> None:
         self.jobs: dict[str, Job] = {}
         self.by_machine: dict[str, dict[AttemptKey, Attempt]] = {}
-        self._chunks: dict[str, dict[int, tuple[TaskChunk, int]]] = {}
+        self._chunks: dict[str, dict[int, TaskChunk]] = {}
         self._indexed: dict[tuple[str, int], tuple[Attempt, ...]] = {}
         # Called with (machine, job, attempt) when an attempt appears.
         self.on_attempt: list[Callable[[str, Job, Attempt], None]] = []
@@ -69,13 +69,12 @@
             log.error("job record %s can't be read: %s", key, error)
             return
         job = Job(record, version)
-        for number, (tasks, chunk_version) in self._chunks.get(job_id, {}).items():
+        for number, tasks in self._chunks.get(job_id, {}).items():
             job.chunks[number] = tasks
-            job.chunk_versions[number] = chunk_version
         self.jobs[job_id] = job
         self._announce(job, self._index(job_id, 0, record.tasks.live))
 
-    def _chunk_changed(self, key: str, value: bytes | None, version: int) -> None:
+    def _chunk_changed(self, key: str, value: bytes | None, _version: int) -> None:
         job_id, _, text = key.removeprefix(records.CHUNK_PREFIX).partition("/")
         number = int(text)
         chunks = self._chunks.setdefault(job_id, {})
@@ -89,10 +88,9 @@
             self._index(job_id, number, ())
             return
         tasks = records.decode_chunk(value)
-        chunks[number] = (tasks, version)
+        chunks[number] = tasks
         if job is not None:
             job.chunks[number] = tasks
-            job.chunk_versions[number] = version
             self._announce(job, self._index(job_id, number, tasks.live))
 
     def orphans(self) -> list[str]:
--- a/mosswalk/jobs/state.py
+++ b/mosswalk/jobs/state.py
@@ -53,7 +53,6 @@
         self.record = record
         self.version = version
         self.chunks: dict[int, TaskChunk] = {}
-        self.chunk_versions: dict[int, int] = {}
         spec = record.spec
         self.cpus = milli(spec.cpus)
         self.gpus = milli(spec.gpus)
--- a/mosswalk/placement/owner.py
+++ b/mosswalk/placement/owner.py
@@ -9,7 +9,6 @@
 
 import asyncio
 import logging
-import random
 from dataclasses import dataclass
 
 from mosswalk.actors import SECOND_US, Clock
@@ -45,14 +44,13 @@
 
     def __init__(
         self, settings: Settings, mirror: Mirror, board: Board, writer: GroupWriter,
-        leadership: Leadership, clock: Clock, rng: random.Random,
+        leadership: Leadership, clock: Clock,
     ) -> None:  # fmt: skip
         self._mirror = mirror
         self._board = board
         self._writer = writer
         self._leadership = leadership
         self._clock = clock
-        self._rng = rng
         self._ops = settings.params.state.txn_ops
         self._urgency = Urgency(settings.params.objectives)
         self._teams = {team.name: team for team in settings.params.teams}
--- a/mosswalk/service.py
+++ b/mosswalk/service.py
@@ -46,13 +46,11 @@
         )
         self.board = Board(self.mirror)
         self.leadership = Leadership(settings, self.client, self.mirror, clock, rng)
-        self.owner = Owner(
-            settings, self.mirror, self.board, self.writer, self.leadership, clock, rng
-        )
+        self.owner = Owner(settings, self.mirror, self.board, self.writer, self.leadership, clock)
         self.peers = PeerClient(session, settings)
         self.steward = Steward(
             settings, self.mirror, self.board, self.writer, self.leadership, self.owner,
-            self.peers, session, clock, rng,
+            self.peers, session, clock,
         )  # fmt: skip
         self.cloud = CloudCaller(
             CloudClient(session, settings.outside.cloud), clock, rng, params.cloud.rps,
--- a/mosswalk/store/client.py
+++ b/mosswalk/store/client.py
@@ -69,9 +69,6 @@
         self._base = f"http://{address}"
         self._clock = clock
         self._bucket = TokenBucket(rps, max(1.0, rps / 4), clock.now_us())
-        # When the service last answered anything but a refusal.
-        self.served_us = 0
-        self.refused_us = 0
 
     async def _call(
         self, method: str, path: str, body: bytes | None = None, timeout_s: float = 2.0
@@ -86,14 +83,11 @@
             ) as response:  # fmt: skip
                 answer = await response.read()
         except aiohttp.ClientConnectorError as error:
-            self.refused_us = self._clock.now_us()
             raise RefusedError(str(error)) from None
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             raise UnknownOutcomeError(str(error) or type(error).__name__) from None
         if response.status in (503, 429):
-            self.refused_us = self._clock.now_us()
             raise RefusedError(f"status {response.status}")
-        self.served_us = self._clock.now_us()
         return response.status, answer
 
     async def get(self, key: str) -> wire.Row | None:
