--- /dev/null
+++ b/mosswalk/fleet/offers.py
@@ -0,0 +1,228 @@
+"""Room on the machines, and its offering to the teams in turn."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from mosswalk.actors import SECOND_US, Clock, to_us
+from mosswalk.config import Settings
+from mosswalk.fleet.book import Book, Machine
+from mosswalk.fleet.renting import Renting
+from mosswalk.jobs.board import Board
+from mosswalk.jobs.state import Job, milli_room
+from mosswalk.leadership.actor import Leadership
+from mosswalk.placement.queues import (
+    TeamQueue,
+    Urgency,
+    Usage,
+    serve_in_turn,
+    usage_by_team,
+)
+from mosswalk.placement.rooms import Room
+from mosswalk.store.mirror import Mirror
+from mosswalk.wire.peers import Offer, OfferAnswer, SlotOffer, TeamOffer
+
+log = logging.getLogger(__name__)
+
+_RESERVED_US = 5 * SECOND_US
+_COOL_US = 500_000
+
+
+@dataclass(slots=True)
+class _Reservation:
+    """Room offered to an owner and not yet seen in the records."""
+
+    node: str
+    teams: tuple[str, ...]
+    slots: list[SlotOffer]
+    until_us: int
+    # Set once the owner has answered: the room is free again when the mirror has got there.
+    revision: int | None = None
+
+
+class Offers:
+    """What is free where, what of it is offered, and to whom."""
+
+    def __init__(
+        self, settings: Settings, mirror: Mirror, board: Board, book: Book,
+        leadership: Leadership, renting: Renting, clock: Clock,
+        failed_on: Mapping[str, set[str]],
+    ) -> None:  # fmt: skip
+        self._mirror = mirror
+        self._board = board
+        self._book = book
+        self._leadership = leadership
+        self._renting = renting
+        self._clock = clock
+        self._failed_on = failed_on
+        self._urgency = Urgency(settings.params.objectives)
+        self._teams = {team.name: team for team in settings.params.teams}
+        self._shares = {
+            name: settings.tuning.shares.get(name) or max(1.0, team.cpus)
+            for name, team in self._teams.items()
+        }
+        self._silent_us = to_us(
+            settings.tuning.fleet.silent_reports * settings.params.workers.report_s
+        )
+        self._reservations: list[_Reservation] = []
+        self._cool: dict[str, int] = {}
+        self._claims: dict[str, tuple[int, frozenset[str]]] = {}
+
+    def reset(self) -> None:
+        """Forget all: another controller leads."""
+        self._reservations.clear()
+
+    def claim(self, machine: str, until_us: int, job_id: str) -> None:
+        """Keep room that is being freed on a machine for the job it is freed for."""
+        self._claims[machine] = (until_us, self._claimants(machine) | {job_id})
+
+    def expire_claims(self) -> None:
+        """Room not taken in time is for everybody again."""
+        now_us = self._clock.now_us()
+        for name in [n for n, (until_us, _) in self._claims.items() if until_us < now_us]:
+            del self._claims[name]
+
+    def reserved(self, name: str) -> bool:
+        """Whether room on a machine is offered just now."""
+        return any(slot.machine == name for r in self._reservations for slot in r.slots)
+
+    def answered(self, node: str, answer: OfferAnswer | None) -> None:
+        """An owner has answered, or has not."""
+        now_us = self._clock.now_us()
+        for reservation in self._reservations:
+            if reservation.node == node and reservation.revision is None:
+                if answer is None:
+                    # The owner may still be placing on it: keep the room until it runs out.
+                    continue
+                reservation.revision = answer.revision
+                if answer.placed == 0:
+                    for team in reservation.teams:
+                        self._cool[team] = now_us + _COOL_US
+
+    def room(self, machine: Machine) -> Room | None:
+        """What is free on a machine; None if nothing may be placed there."""
+        shape = self._book.types.get(machine.type)
+        if (
+            shape is None
+            or machine.phase != "up"
+            or machine.rumoured
+            or not machine.reported
+            or machine.releasing is not None
+            or machine.distrusted
+            or machine.notice_until_us is not None
+            or self._clock.now_us() - machine.seen_us > self._silent_us
+        ):
+            return None
+        price = shape.spot_price if machine.spot else shape.price
+        room = Room(
+            machine=machine.name,
+            type=machine.type,
+            zone=machine.zone,
+            spot=machine.spot,
+            tenure=machine.tenure,
+            cpus=milli_room(shape.cpus),
+            gpus=milli_room(shape.gpus),
+            memory=milli_room(shape.memory_gb),
+            images=frozenset(machine.images),
+            core_price=price / max(1.0, shape.cpus),
+            fetch_s_per_gb=1.0 / max(0.001, shape.fetch_gb_per_s),
+            cordoned=machine.name in self._renting.cordoned,
+            claimed_by=self._claimants(machine.name),
+        )
+        attempts = self._board.attempts_on(machine.name)
+        for key in attempts:
+            job = self._board.jobs.get(key[0])
+            if job is not None:
+                room.take(job)
+        for reservation in self._reservations:
+            for slot in reservation.slots:
+                if slot.machine == machine.name:
+                    room.cpus -= slot.cpus
+                    room.gpus -= slot.gpus
+                    room.memory -= slot.memory
+        return room
+
+    def _claimants(self, name: str) -> frozenset[str]:
+        until_us, jobs = self._claims.get(name, (0, frozenset()))
+        return jobs if self._clock.now_us() < until_us else frozenset()
+
+    def _drop_reservations(self) -> None:
+        now_us = self._clock.now_us()
+        self._reservations = [
+            r
+            for r in self._reservations
+            if (r.revision is None and now_us < r.until_us)
+            or (
+                r.revision is not None
+                and r.node != self._leadership.node
+                and self._mirror.revision < r.revision
+            )
+        ]
+
+    def plan(self) -> list[tuple[str, Offer]]:
+        """Offer free room to the teams in turn: a message for each owner that gets some."""
+        term = self._leadership.term
+        if term is None or not self._leadership.may_start():
+            return []
+        now_us = self._clock.now_us()
+        self._drop_reservations()
+        busy = {r.node for r in self._reservations}
+        rooms = [r for m in self._book.machines.values() if (r := self.room(m)) is not None]
+        for machine in self._book.machines.values():
+            idle = not self._board.attempts_on(machine.name) and not any(
+                t.phase != "exited" for t in machine.tasks.values()
+            )
+            if machine.phase != "up" or not idle:
+                machine.idle_since_us = None
+            elif machine.idle_since_us is None:
+                machine.idle_since_us = now_us
+        usage = usage_by_team(self._board.jobs.values())
+        zones = self._book.zone_of()
+        jobs: dict[str, list[Job]] = {}
+        for job in self._board.jobs.values():
+            jobs.setdefault(job.spec.team, []).append(job)
+        queues = [
+            TeamQueue(team, jobs.get(name, ()), usage.get(name) or Usage(), zones,
+                      self._failed_on, {}, self._urgency, self._clock.wall_us())
+            for name, team in self._teams.items()
+            if term.owners.get(name) not in busy and self._cool.get(name, 0) <= now_us
+        ]  # fmt: skip
+        slots: dict[tuple[str, str], SlotOffer] = {}
+        for placing in serve_in_turn(queues, rooms, self._shares):
+            team, room, job = placing.job.spec.team, placing.room, placing.job
+            key = (team, room.machine)
+            before = slots.get(key)
+            slots[key] = SlotOffer(
+                room.machine, room.type, room.zone, room.spot, room.tenure,
+                job.cpus + (before.cpus if before else 0),
+                job.gpus + (before.gpus if before else 0),
+                job.memory + (before.memory if before else 0),
+                tuple(room.images), room.core_price,
+                room.fetch_s_per_gb,
+            )  # fmt: skip
+        self._renting.note_stuck(queues)
+        by_node: dict[str, dict[str, list[SlotOffer]]] = {}
+        for (team, _), slot in slots.items():
+            node = term.owners.get(team)
+            if node is not None:
+                by_node.setdefault(node, {}).setdefault(team, []).append(slot)
+        offers: list[tuple[str, Offer]] = []
+        for node, teams in by_node.items():
+            bound = {
+                attempt.machine
+                for team in teams
+                for job in jobs[team]
+                if job.spec.spread or job.spec.one_zone
+                for attempt in job.live()
+            }
+            offer = Offer(
+                term.term,
+                tuple(TeamOffer(t, tuple(s)) for t, s in teams.items()),
+                {machine: zones[machine] for machine in bound if machine in zones},
+            )
+            flat = [slot for group in teams.values() for slot in group]
+            self._reservations.append(_Reservation(node, tuple(teams), flat, now_us + _RESERVED_US))
+            offers.append((node, offer))
+        return offers
--- /dev/null
+++ b/mosswalk/fleet/pushes.py
@@ -0,0 +1,135 @@
+"""Orders sent straight to workers, so that a start need not wait for the next report."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+
+import aiohttp
+import msgspec
+
+from mosswalk.fleet.book import Book, Machine
+from mosswalk.fleet.messages import PushDone
+from mosswalk.jobs.board import AttemptKey, Board
+from mosswalk.jobs.state import split_task_name
+from mosswalk.leadership.actor import Leadership
+from mosswalk.wire.workers import DirectOrders, Order, Report
+
+log = logging.getLogger(__name__)
+
+# Orders for one machine that are decided together go in one message.
+_PUSH_GAP_S = 0.004
+_PUSH_TIMEOUT_S = 3.0
+
+
+@dataclass(slots=True)
+class _Push:
+    orders: list[Order] = field(default_factory=list)
+    in_flight: bool = False
+    scheduled: bool = False
+
+
+class Pushes:
+    """One message a machine under way at most; the leader's actor is told each one's end."""
+
+    def __init__(
+        self, book: Book, board: Board, leadership: Leadership, session: aiohttp.ClientSession,
+        is_to_stop: Callable[[Machine, AttemptKey], bool], tell: Callable[[PushDone], None],
+        spawn: Callable[[Awaitable[None]], None],
+    ) -> None:  # fmt: skip
+        self._book = book
+        self._board = board
+        self._leadership = leadership
+        self._session = session
+        self._is_to_stop = is_to_stop
+        self._tell = tell
+        self._spawn = spawn
+        self._pushes: dict[str, _Push] = {}
+
+    def reset(self) -> None:
+        """Forget all: another controller leads."""
+        self._pushes.clear()
+
+    def forget(self, name: str) -> None:
+        """A machine is gone."""
+        self._pushes.pop(name, None)
+
+    def ended(self, name: str) -> None:
+        """The message under way has ended, answered or not."""
+        push = self._pushes.get(name)
+        if push is not None:
+            push.in_flight = False
+            self._schedule(name, push)
+
+    def push(self, machine: Machine, order: Order) -> None:
+        """Send an order soon."""
+        push = self._pushes.setdefault(machine.name, _Push())
+        push.orders.append(order)
+        self._schedule(machine.name, push)
+
+    def _schedule(self, name: str, push: _Push) -> None:
+        if push.orders and not push.in_flight and not push.scheduled:
+            push.scheduled = True
+            asyncio.get_running_loop().call_later(_PUSH_GAP_S, self._send, name)
+
+    def _send(self, name: str) -> None:
+        push = self._pushes.get(name)
+        machine = self._book.machines.get(name)
+        if push is None:
+            return
+        push.scheduled = False
+        orders, push.orders = push.orders, []
+        if (
+            machine is None or machine.address is None or machine.releasing
+            or not self._leadership.may_start()
+        ):  # fmt: skip
+            return
+        attempts = self._board.attempts_on(name)
+        kept: list[Order] = []
+        for order in orders:
+            split = split_task_name(order.task)
+            key = (*split, order.attempt) if split is not None else None
+            # The job may have been withdrawn, or the attempt settled, since it was queued.
+            if order.op == "run" and (
+                key not in attempts
+                or attempts[key].tenure != machine.tenure
+                or self._is_to_stop(machine, key)
+            ):
+                continue
+            kept.append(order)
+        if not kept:
+            return
+        push.in_flight = True
+        starts = tuple((o.task, o.attempt) for o in kept if o.op == "run")
+        epoch = self._leadership.epoch()
+        for start in starts:
+            # Until it is answered it may be carried out at any later time.
+            machine.unanswered[start] = (epoch, machine.tenure)
+        message = DirectOrders(epoch, machine.tenure, tuple(kept))
+        self._spawn(self._post(machine.name, machine.address, message, starts))
+
+    async def _post(
+        self, name: str, address: str, message: DirectOrders, starts: tuple[tuple[str, int], ...]
+    ) -> None:
+        report: Report | None = None
+        sent = True
+        try:
+            async with self._session.post(
+                f"http://{address}/orders", data=msgspec.json.encode(message),
+                timeout=aiohttp.ClientTimeout(total=_PUSH_TIMEOUT_S, sock_connect=1.5),
+            ) as response:  # fmt: skip
+                body = await response.read()
+                if response.status in (200, 409):
+                    report = msgspec.json.decode(body, type=Report)
+                else:
+                    log.error("worker %s: /orders answered %d", name, response.status)
+        except aiohttp.ClientConnectorError:
+            # A connection attempt that was given up does not complete afterwards.
+            sent = False
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            log.debug("orders to %s: no answer: %r", name, error)
+        except msgspec.DecodeError as error:
+            log.error("worker %s: malformed answer to /orders dropped: %s", name, error)
+        self._tell(PushDone(name, message.epoch, message.tenure, starts, sent, report))
--- a/mosswalk/fleet/steward.py
+++ b/mosswalk/fleet/steward.py
@@ -9,7 +9,7 @@
 import asyncio
 import logging
 from collections.abc import Awaitable, Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from typing import Protocol
 
 import aiohttp
@@ -32,19 +32,18 @@
     TermBegan,
     Tick,
 )
+from mosswalk.fleet.offers import Offers
 from mosswalk.fleet.orders import judge
+from mosswalk.fleet.pushes import Pushes
 from mosswalk.fleet.renting import Renting
 from mosswalk.fleet.suspicion import Patience, to_release
 from mosswalk.jobs.board import AttemptKey, Board
-from mosswalk.jobs.state import Job, milli_room, split_task_name, task_name
+from mosswalk.jobs.state import Job, split_task_name, task_name
 from mosswalk.leadership.actor import Leadership
 from mosswalk.placement.owner import Owner
 from mosswalk.placement.preemption import Victim, choose_victims
 from mosswalk.placement.queues import (
-    TeamQueue,
-    Urgency,
     Usage,
-    serve_in_turn,
     usage_by_team,
     within,
 )
@@ -54,8 +53,8 @@
 from mosswalk.store.mirror import Mirror
 from mosswalk.store.writer import Change, GroupWriter
 from mosswalk.wire.cloud import MachineType
-from mosswalk.wire.peers import Offer, OfferAnswer, Outcome, Outcomes, SlotOffer, TeamOffer
-from mosswalk.wire.workers import DirectOrders, Order, Redirect, Report, ReportAnswer
+from mosswalk.wire.peers import Offer, OfferAnswer, Outcome, Outcomes
+from mosswalk.wire.workers import Order, Redirect, Report, ReportAnswer
 
 log = logging.getLogger(__name__)
 
@@ -63,10 +62,6 @@
 _TICK_US = 500_000
 _PAUSE_US = 2 * SECOND_US
 _RESEND_US = 700_000
-_PUSH_GAP_S = 0.004
-_PUSH_TIMEOUT_S = 3.0
-_RESERVED_US = 5 * SECOND_US
-_COOL_US = 500_000
 _LIST_US = 4 * SECOND_US
 _TYPES_US = 60 * SECOND_US
 _PREEMPT_US = 500_000
@@ -90,18 +85,6 @@
         """Tell outcomes."""
 
 
-@dataclass(slots=True)
-class _Reservation:
-    """Room offered to an owner and not yet seen in the records."""
-
-    node: str
-    teams: tuple[str, ...]
-    slots: list[SlotOffer]
-    until_us: int
-    # Set once the owner has answered: the room is free again when the mirror has got there.
-    revision: int | None = None
-
-
 @dataclass(slots=True)
 class _Stop:
     since_us: int
@@ -114,13 +97,6 @@
     sent_us: int = 0
 
 
-@dataclass(slots=True)
-class _Push:
-    orders: list[Order] = field(default_factory=list)
-    in_flight: bool = False
-    scheduled: bool = False
-
-
 class Steward(Actor[Message]):
     """See the module."""
 
@@ -141,12 +117,7 @@
         self._peers = peers
         self._session = session
         self._clock = clock
-        self._urgency = Urgency(settings.params.objectives)
         self._teams = {team.name: team for team in settings.params.teams}
-        self._shares = {
-            name: settings.tuning.shares.get(name) or max(1.0, team.cpus)
-            for name, team in self._teams.items()
-        }
         workers = settings.params.workers
         self._silent_us = to_us(settings.tuning.fleet.silent_reports * workers.report_s)
         self._patience = Patience(
@@ -157,7 +128,11 @@
         self._period_us = to_us(settings.tuning.factory.period_s)
         self._list_lag_us = to_us(settings.params.cloud.list_lag_s)
         self.book = Book()
+        self._failed_on: dict[str, set[str]] = {}
         self._renting = Renting(settings, self.book, board, clock)
+        self._offers = Offers(
+            settings, mirror, board, self.book, leadership, self._renting, clock, self._failed_on
+        )
         self.cloud: CloudCaller | None = None
         self._leading = False
         self._since_us = 0
@@ -170,14 +145,14 @@
         self._preempt_us = 0
         self._orphans_us = 0
         self._plan_scheduled = False
-        self._reservations: list[_Reservation] = []
-        self._cool: dict[str, int] = {}
         self._told: dict[tuple[str, int], _Told] = {}
         self._stops: dict[AttemptKey, _Stop] = {}
-        self._pushes: dict[str, _Push] = {}
+        self._pushes = Pushes(
+            self.book, board, leadership, session,
+            lambda machine, key: self._stop_grace(machine, key) is not None,
+            self.tell, self.spawn,
+        )  # fmt: skip
         self._late_starts: dict[AttemptKey, int] = {}
-        self._failed_on: dict[str, set[str]] = {}
-        self._claims: dict[str, tuple[int, frozenset[str]]] = {}
         board.on_attempt.append(self._attempt_appeared)
         mirror.after_batch(self._poke)
         leadership.on_term.append(lambda: self.tell(TermBegan()))
@@ -253,10 +228,10 @@
             self._leading = False
             self.book.reset()
             self._renting.reset()
-            self._reservations.clear()
+            self._offers.reset()
             self._told.clear()
             self._stops.clear()
-            self._pushes.clear()
+            self._pushes.reset()
             self._late_starts.clear()
             if self.cloud is not None:
                 self.cloud.forget()
@@ -383,83 +358,10 @@
         machine = self.book.machines.get(name)
         if machine is None or machine.tenure != attempt.tenure or machine.releasing:
             return
-        self._push(machine, Order("run", task_name(job.id, attempt.task), attempt.number))
-
-    def _push(self, machine: Machine, order: Order) -> None:
-        push = self._pushes.setdefault(machine.name, _Push())
-        push.orders.append(order)
-        self._schedule_push(machine.name, push)
-
-    def _schedule_push(self, name: str, push: _Push) -> None:
-        if push.orders and not push.in_flight and not push.scheduled:
-            push.scheduled = True
-            asyncio.get_running_loop().call_later(_PUSH_GAP_S, self._send_push, name)
-
-    def _send_push(self, name: str) -> None:
-        push = self._pushes.get(name)
-        machine = self.book.machines.get(name)
-        if push is None:
-            return
-        push.scheduled = False
-        orders, push.orders = push.orders, []
-        if (
-            machine is None or machine.address is None or machine.releasing
-            or not self._leading or not self._leadership.may_start()
-        ):  # fmt: skip
-            return
-        attempts = self._board.attempts_on(name)
-        kept: list[Order] = []
-        for order in orders:
-            split = split_task_name(order.task)
-            key = (*split, order.attempt) if split is not None else None
-            # The job may have been withdrawn, or the attempt settled, since it was queued.
-            if order.op == "run" and (
-                key not in attempts
-                or attempts[key].tenure != machine.tenure
-                or self._stop_grace(machine, key) is not None
-            ):
-                continue
-            kept.append(order)
-        if not kept:
-            return
-        push.in_flight = True
-        starts = tuple((o.task, o.attempt) for o in kept if o.op == "run")
-        epoch = self._leadership.epoch()
-        for start in starts:
-            # Until it is answered it may be carried out at any later time.
-            machine.unanswered[start] = (epoch, machine.tenure)
-        message = DirectOrders(epoch, machine.tenure, tuple(kept))
-        self.spawn(self._post_orders(machine.name, machine.address, message, starts))
-
-    async def _post_orders(
-        self, name: str, address: str, message: DirectOrders, starts: tuple[tuple[str, int], ...]
-    ) -> None:
-        report: Report | None = None
-        sent = True
-        try:
-            async with self._session.post(
-                f"http://{address}/orders", data=msgspec.json.encode(message),
-                timeout=aiohttp.ClientTimeout(total=_PUSH_TIMEOUT_S, sock_connect=1.5),
-            ) as response:  # fmt: skip
-                body = await response.read()
-                if response.status in (200, 409):
-                    report = msgspec.json.decode(body, type=Report)
-                else:
-                    log.error("worker %s: /orders answered %d", name, response.status)
-        except aiohttp.ClientConnectorError:
-            # A connection attempt that was given up does not complete afterwards.
-            sent = False
-        except (aiohttp.ClientError, TimeoutError, OSError) as error:
-            log.debug("orders to %s: no answer: %r", name, error)
-        except msgspec.DecodeError as error:
-            log.error("worker %s: malformed answer to /orders dropped: %s", name, error)
-        self.tell(PushDone(name, message.epoch, message.tenure, starts, sent, report))
+        self._pushes.push(machine, Order("run", task_name(job.id, attempt.task), attempt.number))
 
     def _push_done(self, message: PushDone) -> None:
-        push = self._pushes.get(message.machine)
-        if push is not None:
-            push.in_flight = False
-            self._schedule_push(message.machine, push)
+        self._pushes.ended(message.machine)
         machine = self.book.machines.get(message.machine)
         if machine is None:
             return
@@ -510,127 +412,8 @@
 
     # Room and offers.
 
-    def _room(self, machine: Machine) -> Room | None:
-        shape = self.book.types.get(machine.type)
-        if (
-            shape is None
-            or machine.phase != "up"
-            or machine.rumoured
-            or not machine.reported
-            or machine.releasing is not None
-            or machine.distrusted
-            or machine.notice_until_us is not None
-            or self._clock.now_us() - machine.seen_us > self._silent_us
-        ):
-            return None
-        price = shape.spot_price if machine.spot else shape.price
-        room = Room(
-            machine=machine.name,
-            type=machine.type,
-            zone=machine.zone,
-            spot=machine.spot,
-            tenure=machine.tenure,
-            cpus=milli_room(shape.cpus),
-            gpus=milli_room(shape.gpus),
-            memory=milli_room(shape.memory_gb),
-            images=frozenset(machine.images),
-            core_price=price / max(1.0, shape.cpus),
-            fetch_s_per_gb=1.0 / max(0.001, shape.fetch_gb_per_s),
-            cordoned=machine.name in self._renting.cordoned,
-            claimed_by=self._claimants(machine.name),
-        )
-        attempts = self._board.attempts_on(machine.name)
-        for key in attempts:
-            job = self._board.jobs.get(key[0])
-            if job is not None:
-                room.take(job)
-        for reservation in self._reservations:
-            for slot in reservation.slots:
-                if slot.machine == machine.name:
-                    room.cpus -= slot.cpus
-                    room.gpus -= slot.gpus
-                    room.memory -= slot.memory
-        return room
-
-    def _claimants(self, name: str) -> frozenset[str]:
-        until_us, jobs = self._claims.get(name, (0, frozenset()))
-        return jobs if self._clock.now_us() < until_us else frozenset()
-
-    def _drop_reservations(self) -> None:
-        now_us = self._clock.now_us()
-        self._reservations = [
-            r
-            for r in self._reservations
-            if (r.revision is None and now_us < r.until_us)
-            or (
-                r.revision is not None
-                and r.node != self._leadership.node
-                and self._mirror.revision < r.revision
-            )
-        ]
-
     def _plan(self) -> None:
-        """Offer free room to the teams in turn."""
-        term = self._leadership.term
-        if term is None or not self._leadership.may_start():
-            return
-        now_us = self._clock.now_us()
-        self._drop_reservations()
-        busy = {r.node for r in self._reservations}
-        rooms = [r for m in self.book.machines.values() if (r := self._room(m)) is not None]
-        for machine in self.book.machines.values():
-            idle = not self._board.attempts_on(machine.name) and not any(
-                t.phase != "exited" for t in machine.tasks.values()
-            )
-            if machine.phase != "up" or not idle:
-                machine.idle_since_us = None
-            elif machine.idle_since_us is None:
-                machine.idle_since_us = now_us
-        usage = usage_by_team(self._board.jobs.values())
-        zones = self.book.zone_of()
-        jobs: dict[str, list[Job]] = {}
-        for job in self._board.jobs.values():
-            jobs.setdefault(job.spec.team, []).append(job)
-        queues = [
-            TeamQueue(team, jobs.get(name, ()), usage.get(name) or Usage(), zones,
-                      self._failed_on, {}, self._urgency, self._clock.wall_us())
-            for name, team in self._teams.items()
-            if term.owners.get(name) not in busy and self._cool.get(name, 0) <= now_us
-        ]  # fmt: skip
-        slots: dict[tuple[str, str], SlotOffer] = {}
-        for placing in serve_in_turn(queues, rooms, self._shares):
-            team, room, job = placing.job.spec.team, placing.room, placing.job
-            key = (team, room.machine)
-            before = slots.get(key)
-            slots[key] = SlotOffer(
-                room.machine, room.type, room.zone, room.spot, room.tenure,
-                job.cpus + (before.cpus if before else 0),
-                job.gpus + (before.gpus if before else 0),
-                job.memory + (before.memory if before else 0),
-                tuple(room.images), room.core_price,
-                room.fetch_s_per_gb,
-            )  # fmt: skip
-        self._renting.note_stuck(queues)
-        by_node: dict[str, dict[str, list[SlotOffer]]] = {}
-        for (team, _), slot in slots.items():
-            node = term.owners.get(team)
-            if node is not None:
-                by_node.setdefault(node, {}).setdefault(team, []).append(slot)
-        for node, teams in by_node.items():
-            bound = {
-                attempt.machine
-                for team in teams
-                for job in jobs[team]
-                if job.spec.spread or job.spec.one_zone
-                for attempt in job.live()
-            }
-            offer = Offer(
-                term.term,
-                tuple(TeamOffer(t, tuple(s)) for t, s in teams.items()),
-                {machine: zones[machine] for machine in bound if machine in zones},
-            )
-            flat = [slot for group in teams.values() for slot in group]
-            self._reservations.append(_Reservation(node, tuple(teams), flat, now_us + _RESERVED_US))
+        for node, offer in self._offers.plan():
             self.spawn(self._send_offer(node, offer))
 
     async def _send_offer(self, node: str, offer: Offer) -> None:
@@ -645,16 +428,7 @@
         self.tell(OfferDone(node, answer))
 
     def _offer_done(self, message: OfferDone) -> None:
-        now_us = self._clock.now_us()
-        for reservation in self._reservations:
-            if reservation.node == message.node and reservation.revision is None:
-                if message.answer is None:
-                    # The owner may still be placing on it: keep the room until it runs out.
-                    continue
-                reservation.revision = message.answer.revision
-                if message.answer.placed == 0:
-                    for team in reservation.teams:
-                        self._cool[team] = now_us + _COOL_US
+        self._offers.answered(message.node, message.answer)
         self._poke()
 
     # Periodic work.
@@ -684,8 +458,7 @@
         self._watch_late_starts()
         for key in [k for k in self._stops if not self._board.is_live(k)]:
             del self._stops[key]
-        for name in [n for n, (until_us, _) in self._claims.items() if until_us < now_us]:
-            del self._claims[name]
+        self._offers.expire_claims()
         for job_id in [j for j in self._failed_on if j not in self._board.jobs]:
             del self._failed_on[job_id]
         if now_us - self._orphans_us > _ORPHANS_US:
@@ -813,9 +586,7 @@
         machine = self.book.machines.get(back.machine)
         if machine is None:
             return
-        if self._board.attempts_on(machine.name) or any(
-            slot.machine == machine.name for r in self._reservations for slot in r.slots
-        ):
+        if self._board.attempts_on(machine.name) or self._offers.reserved(machine.name):
             return
         self._release(machine, back.why)
 
@@ -825,7 +596,7 @@
                 outcome = Outcome(task_name(key[0], key[1]), key[2], name, "lost")
                 self._told[(outcome.task, outcome.attempt)] = _Told(outcome)
             self.book.remove(name)
-            self._pushes.pop(name, None)
+            self._pushes.forget(name)
         self._tell_outcomes()
         self._poke()
 
@@ -873,7 +644,7 @@
         rooms: list[Room] = []
         running: dict[str, list[Victim]] = {}
         for machine in self.book.machines.values():
-            room = self._room(machine)
+            room = self._offers.room(machine)
             if room is None:
                 continue
             rooms.append(room)
@@ -904,16 +675,16 @@
             self._stops[key] = _Stop(now_us, grace_s)
             name = victim.attempt.machine
             claim_us = now_us + _CLAIM_US + to_us(grace_s)
-            self._claims[name] = (claim_us, self._claimants(name) | {victim.wanted_by})
+            self._offers.claim(name, claim_us, victim.wanted_by)
             log.info("stopping %s/%d attempt %d on %s for more urgent work",
                      *key, victim.attempt.machine)  # fmt: skip
             there = self.book.machines.get(victim.attempt.machine)
             if there is not None:
                 order = Order("kill", task_name(key[0], key[1]), key[2], grace_s)
-                self._push(there, order)
+                self._pushes.push(there, order)
 
     def _run_factory(self) -> None:
-        wanted, returned = self._renting.turn(self._room, self._calls_left())
+        wanted, returned = self._renting.turn(self._offers.room, self._calls_left())
         for back in returned:
             self._give_back(back)
         if self.cloud is not None:
