Index a large job's chunks when they are read before its header

Found by reading: keys are read in order, m/c/ before m/j/, and a chunk whose job was not known yet was never indexed. A controller that started, and then led, took the attempts beyond a job's first 192 (256) tasks for strays, killed them, and kept their records live for ever. The state machine's test reads all keys anew; without the guard it fails.

--- a/mosswalk/jobs/board.py
+++ b/mosswalk/jobs/board.py
@@ -27,6 +27,8 @@
         self._indexed: dict[tuple[str, int], tuple[Attempt, ...]] = {}
         # Called with (machine, job, attempt) when an attempt appears.
         self.on_attempt: list[Callable[[str, Job, Attempt], None]] = []
+        # Called with a machine's name when what is placed on it has changed.
+        self.on_machine: list[Callable[[str], None]] = []
         mirror.listen(records.JOB_PREFIX, self._job_changed)
         mirror.listen(records.CHUNK_PREFIX, self._chunk_changed)
 
@@ -37,8 +39,10 @@
         else:
             self._indexed.pop((job_id, chunk), None)
         kept = set(live)
+        changed: set[str] = set()
         for attempt in old:
             if attempt not in kept:
+                changed.add(attempt.machine)
                 there = self.by_machine.get(attempt.machine)
                 if there is not None:
                     there.pop((job_id, attempt.task, attempt.number), None)
@@ -49,6 +53,10 @@
         for attempt in fresh:
             there = self.by_machine.setdefault(attempt.machine, {})
             there[(job_id, attempt.task, attempt.number)] = attempt
+            changed.add(attempt.machine)
+        for action in self.on_machine:
+            for machine in changed:
+                action(machine)
         return fresh
 
     def _announce(self, job: Job, fresh: Iterable[Attempt]) -> None:
@@ -69,10 +77,16 @@
             log.error("job record %s can't be read: %s", key, error)
             return
         job = Job(record, version)
+        fresh: list[Attempt] = []
+        known = job_id in self.jobs
         for number, tasks in self._chunks.get(job_id, {}).items():
             job.chunks[number] = tasks
+            if not known:
+                # When all keys are read anew, chunks come before their job's header. Unindexed,
+                # a leader just started would take their attempts for strays and kill them.
+                fresh += self._index(job_id, number, tasks.live)
         self.jobs[job_id] = job
-        self._announce(job, self._index(job_id, 0, record.tasks.live))
+        self._announce(job, [*self._index(job_id, 0, record.tasks.live), *fresh])
 
     def _chunk_changed(self, key: str, value: bytes | None, _version: int) -> None:
         job_id, _, text = key.removeprefix(records.CHUNK_PREFIX).partition("/")
--- a/tests/test_jobs.py
+++ b/tests/test_jobs.py
@@ -128,6 +128,14 @@
         assert set(job.pending()) == set(range(TASKS)) - set(live) - self.done
         on_machines = sum(len(there) for there in self.board.by_machine.values())
         assert on_machines == len(live)
+        # A controller that has just started reads all keys in order, chunks before headers.
+        anew = MirrorOf()
+        board = Board(anew)
+        for key, (value, version) in sorted(self.mirror.rows.items()):
+            for prefix, listener in anew.listeners:
+                if key.startswith(prefix):
+                    listener(key, value, version)
+        assert board.by_machine == self.board.by_machine
 
 
 JobMachine.TestCase.settings = settings(max_examples=60, stateful_step_count=40)
