--- a/mosswalk/config/operator.py
+++ b/mosswalk/config/operator.py
@@ -24,10 +24,10 @@
     load_low: float = 0.95
     high_dwell_s: float = 0.5
     low_dwell_s: float = 4.0
-    most_rented: int = 12
+    most_rented: int = 50
     most_returned: int = 2
     weight_of_time: float = 0.3
-    pool_cap: int = 12
+    pool_cap: int = 1000
     idle_keep_s: float = 3.0
     # Steady machines for work that may use spot ones are to be up after it has waited this long.
     steady_within_s: float = 45.0
--- a/mosswalk/factory/loop.py
+++ b/mosswalk/factory/loop.py
@@ -18,7 +18,7 @@
 from mosswalk.factory.pareto import PoolFigures, affordable, optimize, pareto_front
 from mosswalk.jobs.state import Job, milli_room
 from mosswalk.placement.rooms import Room, ZoneRule
-from mosswalk.wire.cloud import MachineType
+from mosswalk.wire.cloud import MAX_RENT, MachineType
 
 log = logging.getLogger(__name__)
 
@@ -353,7 +353,8 @@
         self, shape: MachineType, groups: list[_Group], view: View, calls: int
     ) -> tuple[list[Rent], int]:
         rents: list[Rent] = []
-        left = self._tuning.most_rented
+        # More than a call rents would be taken for refused.
+        left = min(self._tuning.most_rented, MAX_RENT)
         added: dict[Pool, int] = {}
         counts: dict[Pool, int] = {}
         for machine in view.machines:
