Age what waits to begin; keep limit and room for what is overdue

The users' addition: the largest jobs must begin within four minutes. Now a job that waits to begin moves ahead a priority every 50 s; overdue after 150 s it comes first, its team's limit and one machine's room are kept for it; work older than 150 s is stopped for prod work only.

--- a/mosswalk/fleet/offers.py
+++ b/mosswalk/fleet/offers.py
@@ -3,13 +3,14 @@
 from __future__ import annotations
 
 import logging
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 
 from mosswalk.actors import SECOND_US, Clock, to_us
 from mosswalk.config import Settings
 from mosswalk.fleet.book import Book, Machine
 from mosswalk.fleet.renting import Renting
+from mosswalk.jobs.admission import fits_type
 from mosswalk.jobs.board import Board
 from mosswalk.jobs.state import Job, milli_room
 from mosswalk.leadership.actor import Leadership
@@ -20,7 +21,7 @@
     serve_in_turn,
     usage_by_team,
 )
-from mosswalk.placement.rooms import Room
+from mosswalk.placement.rooms import Room, room_to_keep
 from mosswalk.store.mirror import Mirror
 from mosswalk.wire.peers import Offer, OfferAnswer, SlotOffer, TeamOffer
 
@@ -28,6 +29,8 @@
 
 _RESERVED_US = 5 * SECOND_US
 _COOL_US = 500_000
+# Room kept for an overdue job is chosen anew after this.
+_KEPT_US = 10 * SECOND_US
 
 
 @dataclass(slots=True)
@@ -147,7 +150,7 @@
         machine.used_cpus = machine.used_memory = 0
         machine.has_replica = False
         attempts = self._board.attempts_on(machine.name)
-        for key in attempts:
+        for key in self._board.attempts_on(machine.name):
             job = self._board.jobs.get(key[0])
             if job is not None:
                 machine.used_cpus += job.cpus
@@ -189,8 +192,7 @@
             cordoned=machine.name in self._renting.cordoned,
             claimed_by=self._claimants(machine.name),
         )
-        attempts = self._board.attempts_on(machine.name)
-        for key in attempts:
+        for key in self._board.attempts_on(machine.name):
             job = self._board.jobs.get(key[0])
             if job is not None:
                 room.take(job)
@@ -204,6 +206,18 @@
         until_us, jobs = self._claims.get(name, (0, frozenset()))
         return jobs if self._clock.now_us() < until_us else frozenset()
 
+    def _keep_room(self, queues: Iterable[TeamQueue], rooms: list[Room]) -> None:
+        until_us = self._clock.now_us() + _KEPT_US
+        for queue in queues:
+            for job in queue.stuck:
+                if not queue.is_overdue(job) or any(job.id in c[1] for c in self._claims.values()):
+                    continue
+                shapes = {n for n, t in self._book.types.items() if fits_type(job.spec, t)}
+                kept = room_to_keep(job, rooms, shapes)
+                if kept is not None:
+                    log.info("keeping room on %s for %s, overdue", kept.machine, job.id)
+                    self.claim(kept.machine, until_us, job.id)
+
     def _drop_reservations(self) -> None:
         now_us = self._clock.now_us()
         kept = [
@@ -264,6 +278,7 @@
                 room.fetch_s_per_gb,
             )  # fmt: skip
         self._renting.note_stuck(queues)
+        self._keep_room(queues, rooms)
         by_node: dict[str, dict[str, list[SlotOffer]]] = {}
         for (team, _), slot in slots.items():
             node = term.owners.get(team)
--- a/mosswalk/fleet/steward.py
+++ b/mosswalk/fleet/steward.py
@@ -44,6 +44,7 @@
 from mosswalk.placement.preemption import Victim, choose_victims
 from mosswalk.placement.queues import (
     Usage,
+    shielded,
     usage_by_team,
     within,
 )
@@ -661,6 +662,7 @@
         ]  # fmt: skip
         if not stuck:
             return
+        wall_us = self._clock.wall_us()
         rooms: list[Room] = []
         running: dict[str, list[Victim]] = {}
         for shared in self._offers.rooms():
@@ -673,7 +675,8 @@
                 if key in self._stops or not job.open:
                     room.take(job, -1)
                 elif job.rank > 0:
-                    running.setdefault(room.machine, []).append(Victim(job, attempt))
+                    victim = Victim(job, attempt, shielded=shielded(job, wall_us))
+                    running.setdefault(room.machine, []).append(victim)
         victims = choose_victims(
             stuck, rooms, running, self._teams, usage, self.book.zone_of(), _MOST_VICTIMS
         )
--- a/mosswalk/placement/preemption.py
+++ b/mosswalk/placement/preemption.py
@@ -24,6 +24,8 @@
     job: Job
     attempt: Attempt
     wanted_by: str = ""
+    # Waited long to begin: only prod work may stop it, or it might never get anywhere.
+    shielded: bool = False
 
 
 def may_preempt(
@@ -123,6 +125,8 @@
     picked: list[Victim] = []
     for victim in (None, *victims):
         if victim is not None:
+            if victim.shielded and job.rank > 0:
+                continue
             if not may_preempt(job, victim.job, guaranteed, teams, usage):
                 continue
             cpus += victim.job.cpus
--- a/mosswalk/placement/queues.py
+++ b/mosswalk/placement/queues.py
@@ -11,6 +11,24 @@
 from mosswalk.placement.rooms import Room, ZoneRule, best_room, zone_rule
 
 _UNTIMED_US = 600_000_000
+# A job that waits to begin moves ahead a priority after each such while, and comes before all
+# others after three; the users want every job begun within four minutes.
+_AGING_US = 50_000_000
+# From then on its team's freed limit and claimed room are kept for it.
+OVERDUE_US = 3 * _AGING_US
+# A job that has begun goes on aging, but slowly: it must not be starved halfway.
+_AGING_BEGUN_US = 150_000_000
+
+
+def overdue(job: Job, wall_us: int) -> bool:
+    """Whether a job has waited so long to begin that others must make way."""
+    begun = job.record.live_count > 0 or job.record.done_count > 0
+    return not begun and wall_us - job.record.submitted_us > OVERDUE_US
+
+
+def shielded(job: Job, wall_us: int) -> bool:
+    """Whether a job is so old that only prod work may stop its tasks."""
+    return wall_us - job.record.submitted_us > _AGING_BEGUN_US
 
 
 class Urgency:
@@ -41,9 +59,18 @@
         target_us = self.target_us(job, wall_us)
         timed = job.spec.deadline_s is not None or job.spec.job_class in self._within_us
         late = timed and target_us is None
+        begun = job.record.live_count > 0 or job.record.done_count > 0
+        waited_us = max(0, wall_us - submitted_us)
+        aged = waited_us // (_AGING_BEGUN_US if begun else _AGING_US)
+        if aged and late:
+            # What can no longer be in time gives way to what can, but not for ever.
+            late, aged = False, aged - 1
         # Work without a time of its own is neither hurried nor left behind for ever.
         target_us = submitted_us + _UNTIMED_US if target_us is None else target_us
-        return (job.rank, late, target_us, submitted_us, job.id)
+        if overdue(job, wall_us):
+            return (-1, False, submitted_us, submitted_us, job.id)
+        rank = max(min(job.rank, 1), job.rank - aged)
+        return (rank, late, target_us, submitted_us, job.id)
 
 
 @dataclass(slots=True)
@@ -113,6 +140,7 @@
         self.usage = Usage(usage.cpus, usage.gpus)
         self._zone_of = zone_of
         self._avoid = avoid
+        self._wall_us = wall_us
         self._jobs = sorted(
             (j for j in jobs if j.open and j.pending_count() > 0 and j.id not in held),
             key=lambda job: urgency.key(job, wall_us),
@@ -130,6 +158,10 @@
         """The job whose task comes next."""
         return self._jobs[self._at] if self._at < len(self._jobs) else None
 
+    def is_overdue(self, job: Job) -> bool:
+        """Whether others must make way for a job."""
+        return overdue(job, self._wall_us)
+
     def least(self) -> tuple[int, int] | None:
         """The least cores and memory that any task of the queue asks for."""
         if not self._jobs:
@@ -156,6 +188,10 @@
         while (job := self.head()) is not None:
             if not within(self.team, self.usage, job, limit=True):
                 # Held back by the limit, not by room: no reason to rent or preempt.
+                if self.is_overdue(job):
+                    # Smaller tasks would take each bit of the limit that comes free.
+                    self._at = len(self._jobs)
+                    return None
                 self._skip()
                 continue
             if self._rule is None:
@@ -190,9 +226,11 @@
 
 
 def turn_key(queue: TeamQueue, share: float) -> tuple[int, int, float, str]:
-    """Who comes next: guarantees first, then priority, then the least used by share."""
+    """Who comes next: the overdue, guarantees, priority, then the least used by share."""
     head = queue.head()
     assert head is not None
+    if queue.is_overdue(head):
+        return (-1, head.rank, queue.usage.cpus / share, queue.team.name)
     guaranteed = within(queue.team, queue.usage, head, limit=False)
     return (
         0 if guaranteed or head.rank == 0 else 1,
--- a/mosswalk/placement/rooms.py
+++ b/mosswalk/placement/rooms.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Container, Iterable
 from dataclasses import dataclass, field
 
 from mosswalk.jobs.state import Job
@@ -42,6 +42,10 @@
         pairs = ((self.cpus, job.cpus), (self.gpus, job.gpus), (self.memory, job.memory))
         return max(0, min((free // asked for free, asked in pairs if asked), default=0))
 
+    def most_part(self, job: Job) -> float:
+        """How much of what a task asks for is free, by its scarcest amount."""
+        return min(self.cpus / max(1, job.cpus), self.memory / max(1, job.memory))
+
     def take(self, job: Job, count: int = 1) -> None:
         """Use room for tasks; a negative count gives it back."""
         self.cpus -= job.cpus * count
@@ -166,3 +170,12 @@
         if best_key is None or key < best_key:
             best, best_key = room, key
     return best
+
+
+def room_to_keep(job: Job, rooms: Iterable[Room], shapes: Container[str]) -> Room | None:
+    """The room to keep for a job that is overdue, until its machine has enough of it free.
+
+    Else small tasks take each scattered bit that comes free, and a large one never begins.
+    """
+    open_to = (r for r in rooms if not r.claimed_by and r.allows(job) and r.type in shapes)
+    return max(open_to, key=lambda r: (r.most_part(job), r.machine), default=None)
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -1,12 +1,12 @@
-from hypothesis import given
+from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from mosswalk.config import Objective, Team
 from mosswalk.jobs.state import Draft, Job, new_record
 from mosswalk.leadership.terms import assign_teams, needs_new_term, next_term
 from mosswalk.placement.preemption import Victim, choose_victims
-from mosswalk.placement.queues import TeamQueue, Urgency, Usage, serve_in_turn
-from mosswalk.placement.rooms import Room, zone_rule
+from mosswalk.placement.queues import TeamQueue, Urgency, Usage, serve_in_turn, shielded
+from mosswalk.placement.rooms import Room, room_to_keep, zone_rule
 from tests.standins import spec
 
 
@@ -189,3 +189,66 @@
 
     # In time for 60 s, then only for 90 s, which is still before the other's 60; then not at all.
     assert [first(s) for s in (20, 50, 70)] == ["j-1", "j-1", "j-2"]
+
+
+S = 1_000_000
+
+
+@settings(max_examples=25)
+@given(
+    st.integers(2, 6), st.sampled_from(["idle", "standard"]), st.integers(5, 40),
+    st.sampled_from([None, 6.0]), st.sampled_from(["same team", "other team"]),
+    st.sampled_from([1.0, 0.01]),
+)  # fmt: skip
+def test_the_largest_idle_job_begins_within_four_minutes_under_a_flood_of_small_urgent_work(
+    machines, priority, flood_run_s, limit, whose, share
+):
+    """Scattered room, a full team limit and a low share: each alone would starve it for ever."""
+    big = job("j-0", tasks=9, cpus=4.0, memory_gb=16.0, priority=priority)
+    teams = [Team("red", cpus_max=limit or 0.0), Team("blue", cpus=99.0)]
+    names = ["red" if whose == "same team" else "blue"]
+    free = {f"vm-{i}": 4000 for i in range(machines)}
+    running, kept = [], {}
+    for second in range(0, 300, 5):
+        for end_s, machine, cpus, team in [r for r in running if r[0] <= second]:
+            free[machine] += cpus
+            running.remove((end_s, machine, cpus, team))
+        places = [
+            room(name, cpus=c, claimed_by=frozenset({"j-0"} if name in kept else ()))
+            for name, c in free.items()
+        ]
+        flood = [
+            job(f"j-{1000 + second * 40 + i}", second * S, tasks=1, team=names[0],
+                memory_gb=1.0, priority="high", deadline_s=60.0)
+            for i in range(30)
+        ]  # fmt: skip
+        queues = [
+            queue(team, [j for j in [big, *flood] if j.spec.team == team.name],
+                  Usage(sum(r[2] for r in running if r[3] == team.name)), now_us=second * S)
+            for team in teams
+        ]  # fmt: skip
+        for n, placing in enumerate(serve_in_turn(queues, places, {"red": share, "blue": 1.0})):
+            if placing.job is big:
+                assert second <= 240
+                return
+            # Tasks end one after another, so that whole machines never come free together.
+            end_s = second + flood_run_s + 5 * (n % 7)
+            free[placing.room.machine] -= placing.job.cpus
+            running.append(
+                (end_s, placing.room.machine, placing.job.cpus, placing.job.spec.team)
+            )  # fmt: skip
+        for turn in queues:
+            if big in turn.stuck and turn.is_overdue(big) and not kept:
+                kept = {room_to_keep(big, places, {"small"}).machine}
+    raise AssertionError("never begun")
+
+
+def test_what_waited_long_to_begin_is_stopped_for_prod_work_only():
+    old = job("j-7", tasks=1, priority="idle", live=["vm-1"])
+    teams = {"red": Team("red")}
+    running = {"vm-1": [Victim(old, a, shielded=True) for a in old.live()]}
+    for priority, stopped in (("prod", 1), ("high", 0)):
+        urgent = job("j-9", tasks=1, priority=priority)
+        got = choose_victims([(urgent, 1)], [room(cpus=0)], running, teams, {}, {}, 9)
+        assert len(got) == stopped
+    assert shielded(old, 200 * S) and not shielded(old, 100 * S)
