Leave writes for users, and do not spend them on each completed task

Now users' changes have a lane of their own, placings and outcomes three quarters of the writes, split among owners; while writes are scarce, completed tasks of a job that goes on are gathered for up to 2 s; room is free once the worker has reported the exit.

--- a/mosswalk/cloud/bucket.py
+++ b/mosswalk/cloud/bucket.py
@@ -14,6 +14,14 @@
         # The instant at which the bucket was, or will be, empty.
         self._empty_us = now_us - self._burst_us
 
+    def change_rate(self, rate: float, now_us: int) -> None:
+        """Let tokens arrive at another rate from now on."""
+        held = (now_us - self._empty_us) / self._gap_us
+        burst = self._burst_us / self._gap_us
+        self._gap_us = SECOND_US / rate
+        self._burst_us = burst * self._gap_us
+        self._empty_us = now_us - held * self._gap_us
+
     def _settle(self, now_us: int) -> None:
         self._empty_us = max(self._empty_us, now_us - self._burst_us)
 
--- a/mosswalk/fleet/offers.py
+++ b/mosswalk/fleet/offers.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import logging
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Iterator, Mapping
 from dataclasses import dataclass
 
 from mosswalk.actors import SECOND_US, Clock, to_us
@@ -11,8 +11,8 @@
 from mosswalk.fleet.book import Book, Machine
 from mosswalk.fleet.renting import Renting
 from mosswalk.jobs.admission import fits_type
-from mosswalk.jobs.board import Board
-from mosswalk.jobs.state import Job, milli_room
+from mosswalk.jobs.board import AttemptKey, Board
+from mosswalk.jobs.state import Job, milli_room, task_name
 from mosswalk.leadership.actor import Leadership
 from mosswalk.placement.queues import (
     TeamQueue,
@@ -146,11 +146,21 @@
                     for team in reservation.teams:
                         self._cool[team] = now_us + _COOL_US
 
+    def _taking(self, machine: Machine) -> Iterator[AttemptKey]:
+        """The attempts that may take room: all but those whose exit the worker has reported.
+
+        The records show an exit later, as writes are scarce; its room need not wait for that.
+        """
+        for key in self._board.attempts_on(machine.name):
+            reported = machine.tasks.get((task_name(key[0], key[1]), key[2]))
+            if reported is None or reported.phase != "exited":
+                yield key
+
     def _note_use(self, machine: Machine) -> None:
         machine.used_cpus = machine.used_memory = 0
         machine.has_replica = False
         attempts = self._board.attempts_on(machine.name)
-        for key in self._board.attempts_on(machine.name):
+        for key in self._taking(machine):
             job = self._board.jobs.get(key[0])
             if job is not None:
                 machine.used_cpus += job.cpus
@@ -192,7 +202,7 @@
             cordoned=machine.name in self._renting.cordoned,
             claimed_by=self._claimants(machine.name),
         )
-        for key in self._board.attempts_on(machine.name):
+        for key in self._taking(machine):
             job = self._board.jobs.get(key[0])
             if job is not None:
                 room.take(job)
--- a/mosswalk/placement/owner.py
+++ b/mosswalk/placement/owner.py
@@ -14,7 +14,7 @@
 from mosswalk.actors import SECOND_US, Clock
 from mosswalk.config import Settings, Team
 from mosswalk.jobs.board import Board
-from mosswalk.jobs.state import Draft, split_task_name
+from mosswalk.jobs.state import Draft, Job, split_task_name
 from mosswalk.leadership.actor import Leadership
 from mosswalk.placement.queues import TeamQueue, Urgency, Usage, usage_by_team
 from mosswalk.placement.rooms import room_of
@@ -29,6 +29,9 @@
 _BACKOFF_US = SECOND_US
 _MOST_BACKOFF_US = 30 * SECOND_US
 _MOST_AVOIDED = 6
+# While writes are scarce, completed tasks of a job that goes on are gathered this long: each
+# change to a job costs a write, however many of its tasks it is about.
+_GATHER_US = 2 * SECOND_US
 
 
 @dataclass
@@ -55,6 +58,8 @@
         self._urgency = Urgency(settings.params.objectives)
         self._teams = {team.name: team for team in settings.params.teams}
         self._outcomes: dict[tuple[str, int], Outcome] = {}
+        # Since when completed tasks of a job wait to be written.
+        self._gathered: dict[str, int] = {}
         self._offers: list[tuple[Offer, asyncio.Future[OfferAnswer]]] = []
         self._wake = asyncio.Event()
         self._avoid: dict[str, set[str]] = {}
@@ -99,6 +104,8 @@
         if term is None:
             self._outcomes.clear()
             return
+        # Writes are counted over all controllers, so owners take equal parts of them.
+        self._writer.share(1.0 / max(1, len(set(term.owners.values()))))
         drafts: dict[str, Draft] = {}
         self._apply_outcomes(drafts)
         for job in self._board.jobs.values():
@@ -143,8 +150,21 @@
                     draft.job.id, attempt.task, attempt.number, attempt.machine,
                 )  # fmt: skip
 
+    def _may_wait(self, job: Job, outcomes: list[tuple[int, int, Outcome]]) -> bool:
+        """Whether a job's outcomes may be written later, together with others to come.
+
+        Not when the job ends by them, or when a task has to be placed again.
+        """
+        if any(outcome.fate != "done" for _, _, outcome in outcomes) or not job.open:
+            return False
+        if job.record.done_count + len(outcomes) >= job.spec.tasks or self._writer.ample():
+            return False
+        now_us = self._clock.now_us()
+        return now_us - self._gathered.setdefault(job.id, now_us) < _GATHER_US
+
     def _apply_outcomes(self, drafts: dict[str, Draft]) -> None:
         outcomes, self._outcomes = self._outcomes, {}
+        by_job: dict[str, list[tuple[int, int, Outcome]]] = {}
         for (task, number), outcome in outcomes.items():
             split = split_task_name(task)
             job = self._board.jobs.get(split[0]) if split is not None else None
@@ -153,12 +173,22 @@
             attempt = job.find(split[1], number)
             if attempt is None or attempt.machine != outcome.machine:
                 continue
-            draft = drafts.setdefault(job.id, Draft(job, self._ops))
-            if not draft.settle(split[1], number, outcome.fate):
-                # Too many chunks for one commit: the leader will tell us again.
+            by_job.setdefault(job.id, []).append((split[1], number, outcome))
+        for job_id, found in by_job.items():
+            job = self._board.jobs[job_id]
+            if self._may_wait(job, found):
+                self._outcomes.update({(o.task, number): o for _, number, o in found})
                 continue
-            log.info("%s attempt %d on %s: %s", task, number, outcome.machine, outcome.fate)
-            self._learn(job.id, outcome)
+            self._gathered.pop(job_id, None)
+            draft = drafts.setdefault(job_id, Draft(job, self._ops))
+            for index, number, outcome in found:
+                if not draft.settle(index, number, outcome.fate):
+                    # Too many chunks for one commit: the leader will tell us again.
+                    continue
+                log.info(
+                    "%s attempt %d on %s: %s", outcome.task, number, outcome.machine, outcome.fate
+                )
+                self._learn(job_id, outcome)
 
     def _learn(self, job_id: str, outcome: Outcome) -> None:
         if outcome.fate == "done":
@@ -227,6 +257,6 @@
         return revision
 
     def _forget(self) -> None:
-        for table in (self._avoid, self._holds):
+        for table in (self._avoid, self._holds, self._gathered):
             for job_id in [j for j in table if j not in self._board.jobs]:
                 del table[job_id]
--- a/mosswalk/service.py
+++ b/mosswalk/service.py
@@ -30,6 +30,10 @@
 log = logging.getLogger(__name__)
 
 
+# The part of the writes that placings and outcomes may use.
+_WORK_SHARE = 0.75
+
+
 class Controller:
     """One controller; everything it needs is handed in, so that tests can stand in for it."""
 
@@ -41,9 +45,14 @@
         self.settings = settings
         self.client = StateClient(session, settings.outside.state, params.state.rps, clock)
         self.mirror = Mirror(self.client, clock, rng)
-        self.writer = GroupWriter(
+        # Users' own changes do not queue behind placings, and placings leave room for them: the
+        # service counts the writes of all controllers together.
+        self.users_writer = GroupWriter(
             self.client, clock, rng, params.state.write_rps, params.state.txn_ops
         )
+        self.writer = GroupWriter(
+            self.client, clock, rng, _WORK_SHARE * params.state.write_rps, params.state.txn_ops
+        )
         self.board = Board(self.mirror)
         self.leadership = Leadership(settings, self.client, self.mirror, clock, rng)
         self.owner = Owner(settings, self.mirror, self.board, self.writer, self.leadership, clock)
@@ -57,7 +66,7 @@
             self.steward.tell, self.leadership.leads,
         )  # fmt: skip
         self.steward.cloud = self.cloud
-        self.desk = JobDesk(settings, self.client, self.mirror, self.writer, clock, rng)
+        self.desk = JobDesk(settings, self.client, self.mirror, self.users_writer, clock, rng)
         self.metrics = Metrics(self)
 
     def healthy(self) -> bool:
@@ -72,7 +81,7 @@
     def work(self) -> list[Coroutine[Any, Any, None]]:
         """All that runs for ever.
 
-        The writer alone is not begun again when it fails: commits it had under way would be
+        The writers alone are not begun again when they fail: commits under way would be
         left without a fate, so the process ends.
         """
         kept = (
@@ -84,7 +93,7 @@
             self.steward.ticker,
             self.cloud.run_releases,
         )
-        return [self.writer.run(), *(keep(loop) for loop in kept)]
+        return [self.writer.run(), self.users_writer.run(), *(keep(loop) for loop in kept)]
 
 
 async def listen(app: web.Application, address: str) -> web.AppRunner:
--- a/mosswalk/store/writer.py
+++ b/mosswalk/store/writer.py
@@ -68,7 +68,8 @@
         self._clock = clock
         self._rng = rng
         self._ops = txn_ops
-        self._bucket = TokenBucket(write_rps, max(write_rps * 0.8, txn_ops), clock.now_us())
+        self._write_rps = write_rps
+        self._bucket = TokenBucket(write_rps, max(1.0, write_rps * 0.8), clock.now_us())
         self._queue: deque[_Waiting] = deque()
         self._wake = asyncio.Event()
         self._broken: BaseException | None = None
@@ -82,6 +83,15 @@
         self._wake.set()
         return await future
 
+    def share(self, part: float) -> None:
+        """Use this part of the writes: the service counts all controllers' together."""
+        self._bucket.change_rate(self._write_rps * part, self._clock.now_us())
+
+    def ample(self) -> bool:
+        """Whether a write now would keep nobody waiting."""
+        burst = max(1.0, self._write_rps * 0.8)
+        return not self._queue and self._bucket.available(self._clock.now_us()) > burst / 2
+
     def backlog(self) -> int:
         """How many changes wait for their turn."""
         return len(self._queue)
