Trust a report only from a machine that hears us; draw workers over

A machine whose reports arrive but which nothing reaches looked healthy: it kept its tasks pinned and got new ones. Now it gets room only after a report under an epoch of ours; an order left undone, an epoch not taken up or a lease run out while answered count as silence, so it gets no work and is released within the silent limit; a lease that ran out must be explained by an answer to /orders, since the machine may only have restarted.

Late copies: a report from before our time gives no outcome, no room and no sign of life, and brings up no machine that is gone.

A leader cut from state and peers keeps its workers for up to cancel_s - lease_s: the next one now calls them by /orders, so that they take up its epoch and their reports make the old one step down. Type and machine lists are asked for together on a takeover.

--- a/mosswalk/fleet/book.py
+++ b/mosswalk/fleet/book.py
@@ -7,7 +7,7 @@
 from typing import Literal
 
 from mosswalk.wire.cloud import MachineType
-from mosswalk.wire.workers import Report, TaskReport
+from mosswalk.wire.workers import Order, Report, TaskReport
 
 TaskKey = tuple[str, int]
 
@@ -35,8 +35,17 @@
     tenure: int = 0
     tick: int = -1
     epoch: int = 0
-    # Whether it has reported since this controller began to lead.
-    reported: bool = False
+    # Whether it has reported under an epoch of ours. An earlier report may be a late copy, even
+    # of a machine long gone, and tells nothing of what is there now.
+    hears: bool = False
+    # What our last answer to a report told it, and when: its next report shows whether it heard.
+    told_epoch: int = 0
+    told_orders: tuple[Order, ...] = ()
+    told_us: int = 0
+    deaf_since_us: int | None = None
+    # Only an answer to /orders shows that it hears.
+    must_prove: bool = False
+    probed_us: int | None = None
     notice_until_us: int | None = None
     tasks: dict[TaskKey, TaskReport] = field(default_factory=dict)
     images: OrderedDict[str, float] = field(default_factory=OrderedDict)
@@ -54,6 +63,36 @@
         """Whether a report is newer than all seen before."""
         return (report.tenure, report.tick) > (self.tenure, self.tick)
 
+    def told(self, epoch: int, orders: tuple[Order, ...], now_us: int) -> None:
+        """Our answer to a report is on its way."""
+        self.told_epoch, self.told_orders, self.told_us = epoch, orders, now_us
+
+    def note_hearing(self, report: Report, now_us: int, lease_us: int) -> None:
+        """See by its next report whether our last answer reached it.
+
+        Reports of a machine that nothing reaches are no sign of health. A worker has one report
+        under way at a time, so it has carried out the answer to the one before, or lost it.
+        """
+        again = report.tenure > self.tenure
+        if (
+            again and self.hears and self.tenure > 0 and self.told_us > 0
+            and now_us - self.told_us < lease_us * 6 // 10
+        ):  # fmt: skip
+            # Its lease ran out although we answered in time. It may have been restarted, too.
+            self.must_prove = True
+        heard = report.epoch >= self.told_epoch and (
+            again or all(carried_out(order, report) for order in self.told_orders)
+        )
+        if heard and not self.must_prove:
+            self.deaf_since_us = None
+        elif self.deaf_since_us is None:
+            self.deaf_since_us = now_us
+
+    def answered_orders(self) -> None:
+        """It has answered /orders, so it hears."""
+        self.must_prove = False
+        self.deaf_since_us = None
+
     def used_image(self, image: str, image_gb: float, cache_gb: float) -> None:
         """An image was fetched or used: remember it as the worker's cache would."""
         self.images[image] = image_gb
@@ -67,6 +106,18 @@
         return sent is not None and sent[0] >= max(epoch, self.epoch) and sent[1] == self.tenure
 
 
+def carried_out(order: Order, report: Report) -> bool:
+    """Whether a report shows that an order has been carried out."""
+    found = next(
+        (t for t in report.tasks if t.task == order.task and t.attempt == order.attempt), None
+    )
+    if order.op == "run":
+        return found is not None
+    if order.op == "kill":
+        return found is None or found.phase in ("saving", "exited")
+    return found is None
+
+
 class Book:
     """Machines by name, and the names of those that are gone."""
 
--- a/mosswalk/fleet/offers.py
+++ b/mosswalk/fleet/offers.py
@@ -179,7 +179,8 @@
             shape is None
             or machine.phase != "up"
             or machine.rumoured
-            or not machine.reported
+            or not machine.hears
+            or machine.deaf_since_us is not None
             or machine.releasing is not None
             or machine.distrusted
             or machine.notice_until_us is not None
--- a/mosswalk/fleet/pushes.py
+++ b/mosswalk/fleet/pushes.py
@@ -10,6 +10,7 @@
 import aiohttp
 import msgspec
 
+from mosswalk.actors import Clock
 from mosswalk.fleet.book import Book, Machine
 from mosswalk.fleet.messages import PushDone
 from mosswalk.jobs.board import AttemptKey, Board
@@ -28,6 +29,8 @@
 class _Push:
     orders: list[Order] = field(default_factory=list)
     in_flight: bool = False
+    # Send even if there is nothing to order: the answer tells that the machine hears us.
+    probe: bool = False
     scheduled: bool = False
 
 
@@ -37,7 +40,7 @@
     def __init__(
         self, book: Book, board: Board, leadership: Leadership, session: aiohttp.ClientSession,
         is_to_stop: Callable[[Machine, AttemptKey], bool], tell: Callable[[PushDone], None],
-        spawn: Callable[[Awaitable[None]], None],
+        spawn: Callable[[Awaitable[None]], None], clock: Clock,
     ) -> None:  # fmt: skip
         self._book = book
         self._board = board
@@ -46,6 +49,7 @@
         self._is_to_stop = is_to_stop
         self._tell = tell
         self._spawn = spawn
+        self._clock = clock
         self._pushes: dict[str, _Push] = {}
 
     def reset(self) -> None:
@@ -69,8 +73,15 @@
         push.orders.append(order)
         self._schedule(machine.name, push)
 
+    def probe(self, machine: Machine) -> None:
+        """Have a machine see our epoch and say how it is, without waiting for its report."""
+        push = self._pushes.setdefault(machine.name, _Push())
+        push.probe = True
+        machine.probed_us = self._clock.now_us()
+        self._schedule(machine.name, push)
+
     def _schedule(self, name: str, push: _Push) -> None:
-        if push.orders and not push.in_flight and not push.scheduled:
+        if (push.orders or push.probe) and not push.in_flight and not push.scheduled:
             push.scheduled = True
             asyncio.get_running_loop().call_later(_PUSH_GAP_S, self._send, name)
 
@@ -81,6 +92,7 @@
             return
         push.scheduled = False
         orders, push.orders = push.orders, []
+        probe, push.probe = push.probe, False
         if (
             machine is None or machine.address is None or machine.releasing
             or not self._leadership.may_start()
@@ -99,7 +111,7 @@
             ):
                 continue
             kept.append(order)
-        if not kept:
+        if not kept and not probe:
             return
         push.in_flight = True
         starts = tuple((o.task, o.attempt) for o in kept if o.op == "run")
--- a/mosswalk/fleet/steward.py
+++ b/mosswalk/fleet/steward.py
@@ -75,6 +75,9 @@
 _MOST_VICTIMS = 16
 # Grace after taking over, until workers have found their way to us.
 _TAKEOVER_US = 8 * SECOND_US
+# Those that have not found it by then are called, so many a tick, and again after as long.
+_DRAW_AFTER_US = 2 * SECOND_US
+_MOST_DRAWN = 64
 # A withdrawn task whose start may still be on the way is ended by a new term after this.
 _LATE_START_US = 5 * SECOND_US
 
@@ -127,6 +130,7 @@
         self._patience = Patience(
             to_us(2.2 * workers.report_s), self._silent_us, to_us(workers.lease_s)
         )
+        self._lease_us = to_us(workers.lease_s)
         self._errors_to_distrust = settings.tuning.fleet.errors_to_distrust
         self._boot_patience = settings.tuning.fleet.boot_patience
         self._period_us = to_us(settings.tuning.factory.period_s)
@@ -140,6 +144,8 @@
         self.cloud: CloudCaller | None = None
         self._leading = False
         self._since_us = 0
+        # The epoch with which we began to lead: machines that have seen it hear us.
+        self._first_epoch = 0
         self._ticked_us = 0
         self._listed = False
         self._first = False
@@ -155,7 +161,7 @@
         self._pushes = Pushes(
             self.book, board, leadership, session,
             lambda machine, key: self._stop_grace(machine, key) is not None,
-            self.tell, self.spawn,
+            self.tell, self.spawn, clock,
         )  # fmt: skip
         self._late_starts: dict[AttemptKey, int] = {}
         board.on_attempt.append(self._attempt_appeared)
@@ -218,6 +224,7 @@
             log.info("leading in term %d", self._leadership.epoch())
             self._leading = True
             self._since_us = self._ticked_us = self._clock.now_us()
+            self._first_epoch = self._leadership.epoch()
             # Nobody led before us, so nobody rented anything: no need to wait for the list.
             self._first = self._leadership.epoch() <= 1
             self._listed = False
@@ -275,39 +282,60 @@
         if not machine.newer(report):
             # A late report: what it lists is as old as it is.
             return []
-        if machine.phase != "up":
-            self._came_up(machine, report)
-        if machine.rumoured:
-            machine.rumoured = False
-            machine.type, machine.zone, machine.spot = report.type, report.zone, report.spot
+        if in_answer:
+            machine.note_hearing(report, now_us, self._lease_us)
+        else:
+            machine.answered_orders()
         machine.address = report.address
-        machine.seen_us = now_us
-        machine.reported = True
         machine.tenure, machine.tick = report.tenure, report.tick
         machine.epoch = max(machine.epoch, report.epoch)
-        had_notice = machine.notice_until_us is not None
-        machine.notice_until_us = (
-            now_us + to_us(report.notice_s) if report.notice_s is not None else None
-        )
-        if machine.notice_until_us is not None and not had_notice:
-            log.info("machine %s: notice of %.1f s", machine.name, report.notice_s)
-        self._learn(machine, report)
+        if report.epoch >= self._first_epoch:
+            self._heard_from(machine, report, in_answer=in_answer)
+        elif machine.phase != "up" and in_answer and machine.probed_us is None:
+            # Just up, as it seems: let it see our epoch at once, and it can be used at once.
+            self._pushes.probe(machine)
         machine.tasks = {(t.task, t.attempt): t for t in report.tasks}
         judgement = judge(
             machine, report, self._board.attempts_on(machine.name), self._leadership.epoch(),
             lambda job_id, index, number: self._stop_grace(machine, (job_id, index, number)),
             may_start=self._leadership.may_start(), in_answer=in_answer,
         )  # fmt: skip
-        for outcome in judgement.outcomes:
+        # A report from before our time may be a late copy: it proves nothing.
+        outcomes = judgement.outcomes if machine.hears else []
+        for outcome in outcomes:
             self._told.setdefault((outcome.task, outcome.attempt), _Told(outcome)).outcome = outcome
-        if judgement.outcomes:
+        if outcomes:
             self._tell_outcomes()
         self._offers.touch(machine.name)
         for order in judgement.orders:
             log.debug("order to %s: %s", machine.name, order)
+        if in_answer:
+            machine.told(self._leadership.epoch(), tuple(judgement.orders), now_us)
         self._poke()
         return judgement.orders
 
+    def _heard_from(self, machine: Machine, report: Report, *, in_answer: bool) -> None:
+        """A machine has reported under an epoch of ours, so it is there and hears us."""
+        now_us = self._clock.now_us()
+        machine.hears = True
+        if machine.phase != "up":
+            self._came_up(machine, report)
+            machine.seen_us = now_us
+        if machine.rumoured:
+            machine.rumoured = False
+            machine.type, machine.zone, machine.spot = report.type, report.zone, report.spot
+        if in_answer or now_us - self._since_us < self._lease_us:
+            # Answers to /orders do not renew its lease: a machine whose reports do not reach us
+            # is well only as long as it may still be on its way from the leader before us.
+            machine.seen_us = now_us
+        had_notice = machine.notice_until_us is not None
+        machine.notice_until_us = (
+            now_us + to_us(report.notice_s) if report.notice_s is not None else None
+        )
+        if machine.notice_until_us is not None and not had_notice:
+            log.info("machine %s: notice of %.1f s", machine.name, report.notice_s)
+        self._learn(machine, report)
+
     def _came_up(self, machine: Machine, report: Report) -> None:
         took_us = self._clock.now_us() - machine.rented_us
         log.info("machine %s (%s, %s) is up after %.1f s", machine.name, report.type,
@@ -452,17 +480,18 @@
         self._ticked_us = now_us
         if self.cloud is None or not self._leadership.may_answer():
             return
-        if not self.book.types or now_us - self._asked_types_us > _TYPES_US:
-            if now_us - self._asked_types_us > 2 * SECOND_US:
-                self._asked_types_us = now_us
-                self.spawn(self.cloud.refresh_types())
-        elif now_us - self._asked_list_us > _LIST_US:
+        types_us = _TYPES_US if self.book.types else 2 * SECOND_US
+        if now_us - self._asked_types_us > types_us:
+            self._asked_types_us = now_us
+            self.spawn(self.cloud.refresh_types())
+        if now_us - self._asked_list_us > _LIST_US:
             self._asked_list_us = now_us
             self.spawn(self.cloud.refresh_list())
         for machine in list(self._board.by_machine):
             if machine not in self.book.machines:
                 self._rumour(machine)
         self._offers.refresh()
+        self._draw()
         self._suspect()
         self._tell_outcomes()
         self._watch_late_starts()
@@ -505,20 +534,40 @@
         self.book.machines[name] = machine
         return machine
 
+    def _draw(self) -> None:
+        """Draw machines over that report to the leader before us.
+
+        It may be cut off from the state service and from us but not from them, and answers them
+        until its time is over. A worker that has seen our epoch drops its answers, and its
+        reports tell it to step down.
+        """
+        now_us = self._clock.now_us()
+        if now_us - self._since_us < _DRAW_AFTER_US or not self._leadership.may_start():
+            return
+        strays = [
+            m for m in self.book.machines.values()
+            if m.phase == "up" and (m.must_prove or not m.hears)
+            and m.address is not None and not m.releasing
+            and (m.probed_us is None or now_us - m.probed_us > _DRAW_AFTER_US)
+        ]  # fmt: skip
+        for machine in strays[:_MOST_DRAWN]:
+            self._pushes.probe(machine)
+
     def _suspect(self) -> None:
         """Release machines that say nothing: the cloud's answer is the proof they are gone."""
         now_us = self._clock.now_us()
         if now_us - self._since_us < _TAKEOVER_US or not self._leadership.may_start():
             return
+        # One that does not carry out what it is told is as bad as one that says nothing.
         silences = {
-            m.name: now_us - max(m.seen_us, self._since_us)
+            m.name: now_us - max(self._since_us, min(m.seen_us, m.deaf_since_us or m.seen_us))
             for m in self.book.machines.values()
             if m.phase == "up" and not m.releasing
         }
         for name in to_release(silences, self._patience):
             machine = self.book.machines[name]
-            silence_us = now_us - machine.seen_us
-            self._release(machine, f"silent for {silence_us / SECOND_US:.1f} s")
+            what = "silent" if machine.deaf_since_us is None else "does not hear"
+            self._release(machine, f"{what} for {silences[name] / SECOND_US:.1f} s")
         for machine in list(self.book.machines.values()):
             shape = self.book.types.get(machine.type)
             if machine.phase == "up" or machine.releasing or shape is None:
