Leave the balancer's list when refused alone; followers watch calmly

The users' addition, known for ever: a controller that the state service alone refuses told its users 503 as long as it lasted. It now asks the others each second; when one of them is served, or none can be reached, it says so on /healthz, and polls that come all the same are asked of the one that is served. In an outage for all, all stay in the list.

Back within a fraction of a second: a late presence of the run before could overwrite the new one's on a lease about to end, and its teams would have stood still. It is written again.

Followers gather changes for 0.2 s and decode only the last of a key: seven controllers' watches were most of the state requests.

--- a/mosswalk/api/jobs.py
+++ b/mosswalk/api/jobs.py
@@ -6,7 +6,7 @@
 import logging
 import random
 from collections import OrderedDict
-from collections.abc import Mapping
+from collections.abc import Awaitable, Callable, Mapping
 
 import msgspec
 from msgspec import Raw, Struct
@@ -26,6 +26,7 @@
 from mosswalk.store.records import FinalRecord, JobRecord
 from mosswalk.store.writer import Change, GroupWriter
 from mosswalk.wire.cloud import MachineType
+from mosswalk.wire.peers import PollAnswer
 from mosswalk.wire.users import (
     JOB_ID,
     Failure,
@@ -41,7 +42,8 @@
 # Users give up after 5 s on submissions and 2 s on polls. One that could not be written by half
 # of that is told when to come back, not held to the end.
 _SUBMIT_S = 2.5
-_POLL_S = 1.8
+# A poll leaves time to ask another controller.
+_POLL_S = 1.0
 _MOST_FINAL = 2000
 _TRIES = 6
 _types_decoder = msgspec.json.Decoder(tuple[MachineType, ...])
@@ -86,6 +88,8 @@
         self._rng = rng
         self._teams: Mapping[str, Team] = {team.name: team for team in settings.params.teams}
         self._chunk = records.chunk_size(settings.params.state.value_kb)
+        # Asks another controller that the state service serves, while it does not serve this one.
+        self.elsewhere: Callable[[str], Awaitable[PollAnswer | None]] | None = None
         self._final: OrderedDict[str, FinalRecord] = OrderedDict()
         self._types: tuple[MachineType, ...] = ()
         mirror.listen(records.TYPES_KEY, self._types_changed)
@@ -138,6 +142,21 @@
 
     async def poll(self, job_id: str) -> Reply:
         """GET /api/jobs/{id}."""
+        reply = await self.poll_here(job_id)
+        if reply.status == 503 and self.elsewhere is not None:
+            # Else the jobs of users whose connections stay with us would look forgotten.
+            answer = await self.elsewhere(job_id)
+            if answer is not None and answer.status in (200, 404):
+                return Reply(answer.status, answer.body)
+        return reply
+
+    async def poll_for_other(self, job_id: str) -> PollAnswer:
+        """The same, for another controller; never asked on, or it would go in circles."""
+        reply = await self.poll_here(job_id)
+        return PollAnswer(reply.status, reply.body)
+
+    async def poll_here(self, job_id: str) -> Reply:
+        """A poll answered by what the state service tells this controller."""
         if not JOB_ID.match(job_id):
             return _error(404, "no such job")
         try:
--- a/mosswalk/leadership/actor.py
+++ b/mosswalk/leadership/actor.py
@@ -55,6 +55,7 @@
         self._bound_us = to_us(max(0.0, (workers.cancel_s - workers.lease_s) * 0.95 - 1.0))
         self._lease: int | None = None
         self._lease_us = 0
+        self._absent = 0
         self.term: TermRecord | None = None
         self.term_version = 0
         self._lead: Presence | None = None
@@ -111,6 +112,10 @@
             and self.term.runs.get(self.node) == self.run_id
         )
 
+    def owns_any(self) -> bool:
+        """Whether this run of this controller places for any team."""
+        return any(self.owns(team) for team in self._teams)
+
     def outbid(self, epoch: int) -> None:
         """A worker has seen a higher epoch: someone else leads."""
         if epoch > self.epoch() and self.leads():
@@ -159,13 +164,33 @@
     async def _take_lease(self) -> None:
         asked_us = self._clock.now_us()
         lease = await self._client.grant(self._ttl_us // 1000)
+        await self._write_presence(lease)
+        self._lease = lease
+        self._lease_us = asked_us
+        log.info("present: lease %d", lease)
+
+    async def _restore_presence(self) -> None:
+        """Write our presence again if it was overwritten or removed.
+
+        A request of our last run may arrive late and write that run's presence over ours, on a
+        lease about to end. Then others would take this run for dead: its teams would stand still.
+        """
+        if self.runs.get(self.node) == self.run_id:
+            self._absent = 0
+            return
+        self._absent += 1
+        if self._absent < 3 or self._lease is None:
+            # The mirror may only be behind.
+            return
+        log.info("our presence shows run %s: written again", self.runs.get(self.node))
+        await self._write_presence(self._lease)
+        self._absent = 0
+
+    async def _write_presence(self, lease: int) -> None:
         key = records.NODE_PREFIX + self.node
         await self._client.commit(
             wire.Transaction((), (wire.Write(key=key, value=self._me(), lease=lease),))
         )
-        self._lease = lease
-        self._lease_us = asked_us
-        log.info("present: lease %d", lease)
 
     async def keep_lease(self) -> None:
         """Hold a lease for ever."""
@@ -177,6 +202,7 @@
                     asked_us = self._clock.now_us()
                     await self._client.renew(self._lease, self._ttl_us / 1e6)
                     self._lease_us = asked_us
+                    await self._restore_presence()
             except NoLeaseError:
                 log.info("lease %s has ended", self._lease)
                 self._lease = None
--- a/mosswalk/peers/__init__.py
+++ b/mosswalk/peers/__init__.py
@@ -12,11 +12,13 @@
 from aiohttp import web
 
 from mosswalk.config import Settings
-from mosswalk.wire.peers import Offer, OfferAnswer, Outcomes
+from mosswalk.wire.peers import Offer, OfferAnswer, Outcomes, PollAnswer
 
 log = logging.getLogger(__name__)
 
 T = TypeVar("T")
+_YES = msgspec.msgpack.encode(True)
+_NO = msgspec.msgpack.encode(False)
 
 
 class PeerError(Exception):
@@ -55,13 +57,29 @@
             log.error("controller %s: malformed answer dropped: %s", node, error)
             raise PeerError("malformed answer") from None
 
+    async def fresh(self, node: str) -> bool:
+        """Whether the state service serves another controller."""
+        return await self._post(node, "/fresh", None, 1.0) == _YES
+
+    async def poll(self, node: str, job_id: str) -> PollAnswer:
+        """Have another controller ask the state service about a job."""
+        body = await self._post(node, "/poll", job_id, 1.2)
+        try:
+            return msgspec.msgpack.decode(body, type=PollAnswer)
+        except msgspec.DecodeError as error:
+            log.error("controller %s: malformed answer dropped: %s", node, error)
+            raise PeerError("malformed answer") from None
+
     async def outcomes(self, node: str, message: Outcomes) -> None:
         """Tell the owner what became of attempts."""
         await self._post(node, "/outcomes", message, 2.0)
 
 
 def peer_app(
-    on_offer: Callable[[Offer], Awaitable[OfferAnswer]], on_outcomes: Callable[[Outcomes], None]
+    on_offer: Callable[[Offer], Awaitable[OfferAnswer]],
+    on_outcomes: Callable[[Outcomes], None],
+    is_fresh: Callable[[], bool],
+    on_poll: Callable[[str], Awaitable[PollAnswer]],
 ) -> web.Application:
     """The port that other controllers speak to."""
 
@@ -86,7 +104,15 @@
         on_outcomes(await decoded(request, Outcomes))
         return web.Response()
 
+    async def fresh(_request: web.Request) -> web.Response:
+        return web.Response(body=_YES if is_fresh() else _NO)
+
+    async def poll(request: web.Request) -> web.Response:
+        return web.Response(body=msgspec.msgpack.encode(await on_poll(await decoded(request, str))))
+
     app = web.Application(client_max_size=4 * 1024 * 1024)
     app.router.add_post("/offer", offer)
     app.router.add_post("/outcomes", outcomes)
+    app.router.add_post("/fresh", fresh)
+    app.router.add_post("/poll", poll)
     return app
--- /dev/null
+++ b/mosswalk/peers/health.py
@@ -0,0 +1,76 @@
+"""Whether users' requests can be taken here, or only elsewhere.
+
+A controller can't tell an outage of the state service from being refused alone. In an outage all
+should stay in the balancer's list and say so at once; one that is refused alone should leave it,
+since its users would be told 503 while others are served. So it asks the others.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Callable, Iterable
+from typing import Protocol
+
+from mosswalk.actors import SECOND_US, Clock
+
+log = logging.getLogger(__name__)
+
+# The watch confirms at least every two seconds while the state service serves.
+FRESH_US = 4 * SECOND_US
+_ASK_S = 1.0
+
+
+class FreshLink(Protocol):
+    """How others are asked."""
+
+    async def fresh(self, node: str) -> bool:
+        """Whether the state service serves another controller."""
+
+
+class Health:
+    """Watches this controller's sight of the state service, and asks others when it is lost."""
+
+    def __init__(
+        self, others: Iterable[str], peers: FreshLink, confirmed_us: Callable[[], int],
+        clock: Clock,
+    ) -> None:  # fmt: skip
+        self._others = tuple(others)
+        self._peers = peers
+        self._confirmed_us = confirmed_us
+        self._clock = clock
+        self.alone = False
+        # A controller that the state service serves while it does not serve this one.
+        self.served: str | None = None
+
+    def fresh(self) -> bool:
+        """Whether the state service serves this controller."""
+        return self._clock.now_us() - self._confirmed_us() < FRESH_US
+
+    async def _ask(self, node: str) -> bool | None:
+        try:
+            return await self._peers.fresh(node)
+        except Exception as error:
+            log.debug("controller %s not asked: %s", node, error)
+            return None
+
+    async def look(self) -> None:
+        """Decide anew."""
+        if self.fresh() or not self._others:
+            if self.alone:
+                log.info("served by the state service again")
+            self.alone, self.served = False, None
+            return
+        answers = await asyncio.gather(*(self._ask(node) for node in self._others))
+        self.served = next((n for n, a in zip(self._others, answers, strict=True) if a), None)
+        # With nobody to ask either, this controller is cut off from all: others may serve.
+        alone = self.served is not None or all(answer is None for answer in answers)
+        if alone and not self.alone:
+            log.info("not served by the state service, others are: %s", self.served or "not known")
+        self.alone = alone
+
+    async def run(self) -> None:
+        """Look for ever."""
+        while True:
+            await asyncio.sleep(_ASK_S)
+            await self.look()
--- a/mosswalk/service.py
+++ b/mosswalk/service.py
@@ -21,11 +21,13 @@
 from mosswalk.jobs.board import Board
 from mosswalk.leadership.actor import Leadership
 from mosswalk.metrics import Metrics
-from mosswalk.peers import PeerClient, peer_app
+from mosswalk.peers import PeerClient, PeerError, peer_app
+from mosswalk.peers.health import Health
 from mosswalk.placement.owner import Owner
 from mosswalk.store.client import StateClient
 from mosswalk.store.mirror import Mirror
 from mosswalk.store.writer import GroupWriter
+from mosswalk.wire.peers import PollAnswer
 
 log = logging.getLogger(__name__)
 
@@ -67,16 +69,36 @@
         )  # fmt: skip
         self.steward.cloud = self.cloud
         self.desk = JobDesk(settings, self.client, self.mirror, self.users_writer, clock, rng)
+        self.health = Health(
+            [peer.host_name for peer in settings.known], self.peers,
+            lambda: self.mirror.confirmed_us, clock,
+        )  # fmt: skip
+        self.desk.elsewhere = self._poll_elsewhere
+        # Followers need not hear of each change at once: with many controllers, their watches
+        # would take most of the requests that the state service allows.
+        self.mirror.in_haste = lambda: self.leadership.leads() or self.leadership.owns_any()
         self.metrics = Metrics(self)
 
     def healthy(self) -> bool:
         """Whether users' requests can be taken here."""
-        return self.mirror.loaded
+        return self.mirror.loaded and not self.health.alone
+
+    async def _poll_elsewhere(self, job_id: str) -> PollAnswer | None:
+        node = self.health.served
+        if node is None:
+            return None
+        try:
+            return await self.peers.poll(node, job_id)
+        except PeerError as error:
+            log.debug("poll not asked of %s: %s", node, error)
+            return None
 
     def apps(self) -> tuple[web.Application, web.Application]:
         """The applications for users and workers, and for other controllers."""
         users = users_app(self.desk, self.steward.report, self.healthy, self.metrics.render)
-        return users, peer_app(self.owner.offer, self.owner.outcomes)
+        return users, peer_app(
+            self.owner.offer, self.owner.outcomes, self.health.fresh, self.desk.poll_for_other
+        )
 
     def work(self) -> list[Coroutine[Any, Any, None]]:
         """All that runs for ever.
@@ -92,6 +114,7 @@
             self.steward.run,
             self.steward.ticker,
             self.cloud.run_releases,
+            self.health.run,
         )
         return [self.writer.run(), self.users_writer.run(), *(keep(loop) for loop in kept)]
 
--- a/mosswalk/store/mirror.py
+++ b/mosswalk/store/mirror.py
@@ -27,6 +27,7 @@
 _HOLD_MS = 2000
 # A pause between watches gathers changes, so that a burst costs few requests.
 _GATHER_S = 0.02
+_CALM_GATHER_S = 0.2
 
 
 class Entry(msgspec.Struct, frozen=True):
@@ -51,6 +52,8 @@
         self._after_batch: list[Callable[[], None]] = []
         self.revision = 0
         self.loaded = False
+        # Whether changes are wanted at once.
+        self.in_haste: Callable[[], bool] = lambda: True
         # Everything committed before this instant is in the copy.
         self.confirmed_us = 0
 
@@ -141,7 +144,9 @@
     async def _follow(self) -> None:
         started_us = self._clock.now_us()
         events = await self._client.watch(records.MIRROR, self.revision, _HOLD_MS)
-        for event in events.events:
+        # Of several changes to a key only the last one matters, and decoding is what costs.
+        last = {event.key or event.delete: event for event in events.events}
+        for event in last.values():
             if event.key is not None:
                 self.apply(event.key, bytes(event.value), event.version)
             elif event.delete is not None:
@@ -165,7 +170,7 @@
                     await self._load()
                 else:
                     await self._follow()
-                    await asyncio.sleep(_GATHER_S)
+                    await asyncio.sleep(_GATHER_S if self.in_haste() else _CALM_GATHER_S)
                 if failing_since_us is not None:
                     lasted_us = self._clock.now_us() - failing_since_us
                     log.info("mirror: state service back after %.1f s", lasted_us / SECOND_US)
--- a/mosswalk/wire/peers.py
+++ b/mosswalk/wire/peers.py
@@ -63,3 +63,10 @@
 
     term: int
     outcomes: tuple[Outcome, ...]
+
+
+class PollAnswer(Struct, frozen=True):
+    """What the state service told another controller about a job, as a user is answered."""
+
+    status: int
+    body: bytes
--- /dev/null
+++ b/tests/test_health.py
@@ -0,0 +1,84 @@
+"""A controller that is refused alone leaves the balancer's list; in an outage all stay."""
+
+import asyncio
+import random
+
+import pytest
+from msgspec import Raw
+
+from mosswalk.config import load
+from mosswalk.leadership.actor import Leadership
+from mosswalk.peers.health import FRESH_US, Health
+from mosswalk.store import records
+from mosswalk.store.mirror import Mirror
+from mosswalk.wire import state as wire
+from tests.standins import FakeClient, FakeClock, Store
+from tests.test_config import write
+
+
+class Others:
+    def __init__(self, answers):
+        self.answers = answers
+
+    async def fresh(self, node):
+        answer = self.answers[node]
+        if answer is None:
+            raise OSError("refused")
+        return answer
+
+
+@pytest.mark.parametrize(
+    ("answers", "alone", "served"),
+    [
+        ({"b": True, "c": False}, True, "b"),
+        ({"b": None, "c": True}, True, "c"),
+        ({"b": False, "c": False}, False, None),  # an outage
+        ({"b": False, "c": None}, False, None),
+        ({"b": None, "c": None}, True, None),  # cut off from all
+        ({}, False, None),
+    ],
+)
+def test_only_one_who_is_refused_alone_is_unhealthy(answers, alone, served):
+    async def run():
+        clock = FakeClock()
+        confirmed_us = clock.us
+        health = Health(answers, Others(answers), lambda: confirmed_us, clock)
+        await health.look()
+        assert health.fresh() and not health.alone
+        clock.us += FRESH_US
+        await health.look()
+        assert (health.alone, health.served) == (alone, served)
+        confirmed_us = clock.us
+        await health.look()
+        assert (health.alone, health.served) == (False, None)
+
+    asyncio.run(run())
+
+
+def test_a_late_presence_of_the_run_before_is_written_over(tmp_path):
+    """Back within a fraction of a second, and then the old run's request is carried out."""
+
+    async def run():
+        store, clock = Store(), FakeClock()
+        client = FakeClient(store)
+        mirror = Mirror(client, clock, random.Random(1))
+        leadership = Leadership(load(write(tmp_path)), client, mirror, clock, random.Random(2))
+        key = records.NODE_PREFIX + leadership.node
+        lease, old = store.grant(), store.grant()
+        leadership._lease = lease
+        await leadership._write_presence(lease)
+        late = Raw(records.encode(records.Presence(leadership.node, "old run")))
+        store.commit(wire.Transaction((), (wire.Write(key=key, value=late, lease=old),)))
+        await mirror._load()
+        for _ in range(3):
+            await leadership._restore_presence()
+        store.end_lease(old)
+        await mirror._follow()
+        assert leadership.runs[leadership.node] == leadership.run_id
+        # Nothing is written when all is well.
+        commits = client.commits
+        for _ in range(5):
+            await leadership._restore_presence()
+        assert client.commits == commits
+
+    asyncio.run(run())
