Give no teams to controllers the leader can't reach

The leader asks the others each second; those that fail twice own nothing in the next term, and get their teams back once they answer.

--- a/mosswalk/leadership/actor.py
+++ b/mosswalk/leadership/actor.py
@@ -64,6 +64,7 @@
         self._runs_since_us = 0
         self._outbid = 0
         self._wanted_above = 0
+        self._unreachable: frozenset[str] = frozenset()
         self._wake = asyncio.Event()
         self.on_term: list[Callable[[], None]] = []
         mirror.listen(records.TERM_KEY, self._term_changed)
@@ -122,6 +123,13 @@
             log.info("stepping down: a worker has seen epoch %d, ours is %d", epoch, self.epoch())
             self._outbid = max(self._outbid, epoch)
 
+    def note_unreachable(self, nodes: frozenset[str]) -> None:
+        """Controllers that can't be reached from here, as far as is known."""
+        if nodes != self._unreachable:
+            log.info("can't reach: %s", ", ".join(sorted(nodes)) or "none")
+            self._unreachable = nodes
+            self._wake.set()
+
     def want_new_term(self) -> None:
         """Have a new term made, so that every order of this one is outdated."""
         self._wanted_above = max(self._wanted_above, self.epoch())
@@ -248,9 +256,13 @@
         elif mine and self.term is not None:
             restarted = any(run != self.term.runs.get(node, run) for node, run in self.runs.items())
             gone = any(node not in self.runs for node in self.term.runs)
+            cut_off = self._unreachable & set(self.term.owners.values())
             settled = now_us - self._runs_since_us > _SETTLE_US
             wanted = max(self._outbid, self._wanted_above + 1) > self.term.term
-            if wanted or (needs_new_term(self.term, self._up()) and (restarted or gone or settled)):
+            if wanted or (
+                needs_new_term(self.term, self._up(), self._unreachable)
+                and (restarted or gone or cut_off or settled)
+            ):
                 await self._stand("controllers changed")
 
     def _up(self) -> dict[str, str]:
@@ -259,7 +271,9 @@
     async def _stand(self, why: str) -> None:
         if self._lease is None:
             return
-        term = next_term(self.term, self.node, self._up(), self._teams, self._outbid)
+        term = next_term(
+            self.term, self.node, self._up(), self._teams, self._outbid, self._unreachable
+        )
         guards = (
             wire.Guard(records.LEADER_KEY, self._lead_version),
             wire.Guard(records.TERM_KEY, self.term_version),
--- a/mosswalk/leadership/terms.py
+++ b/mosswalk/leadership/terms.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping
 
 from mosswalk.store.records import TermRecord
 
@@ -41,17 +41,27 @@
     runs: Mapping[str, str],
     teams: Iterable[str],
     above: int = 0,
+    unreachable: Collection[str] = (),
 ) -> TermRecord:
-    """The term in which ``leader`` leads the controllers that are up; beyond ``above`` too."""
+    """The term in which ``leader`` leads the controllers that are up; beyond ``above`` too.
+
+    Those the leader can't reach get no teams: it could offer them no room and tell them nothing.
+    """
     number = max(current.term if current is not None else 0, above) + 1
     before = current.owners if current is not None else {}
-    return TermRecord(number, leader, assign_teams(teams, leader, runs, before), dict(runs))
+    reached = [node for node in runs if node not in unreachable]
+    return TermRecord(number, leader, assign_teams(teams, leader, reached, before), dict(runs))
 
 
-def needs_new_term(current: TermRecord, runs: Mapping[str, str]) -> bool:
+def needs_new_term(
+    current: TermRecord, runs: Mapping[str, str], unreachable: Collection[str] = ()
+) -> bool:
     """Whether the controllers that are up are not those the term was made for.
 
     A controller that was restarted counts as changed: a commit its last run sent may still
     arrive, and only a new term makes sure that it fails.
     """
-    return dict(current.runs) != dict(runs)
+    if dict(current.runs) != dict(runs):
+        return True
+    reached = [node for node in runs if node not in unreachable]
+    return assign_teams(current.owners, current.leader, reached, current.owners) != current.owners
--- a/mosswalk/peers/health.py
+++ b/mosswalk/peers/health.py
@@ -2,7 +2,8 @@
 
 A controller can't tell an outage of the state service from being refused alone. In an outage all
 should stay in the balancer's list and say so at once; one that is refused alone should leave it,
-since its users would be told 503 while others are served. So it asks the others.
+since its users would be told 503 while others are served. So it asks the others. A leader asks
+them too, to know which of them it can't reach.
 """
 
 from __future__ import annotations
@@ -33,12 +34,17 @@
 
     def __init__(
         self, others: Iterable[str], peers: FreshLink, confirmed_us: Callable[[], int],
-        clock: Clock,
+        clock: Clock, leads: Callable[[], bool] = lambda: False,
+        on_unreachable: Callable[[frozenset[str]], None] = lambda _: None,
     ) -> None:  # fmt: skip
         self._others = tuple(others)
         self._peers = peers
         self._confirmed_us = confirmed_us
         self._clock = clock
+        self._leads = leads
+        self._on_unreachable = on_unreachable
+        # Tries in a row that failed, by controller.
+        self._failed: dict[str, int] = dict.fromkeys(self._others, 0)
         self.alone = False
         # A controller that the state service serves while it does not serve this one.
         self.served: str | None = None
@@ -56,12 +62,22 @@
 
     async def look(self) -> None:
         """Decide anew."""
-        if self.fresh() or not self._others:
-            if self.alone:
-                log.info("served by the state service again")
+        fresh = self.fresh()
+        if fresh and self.alone:
+            log.info("served by the state service again")
+        if fresh:
             self.alone, self.served = False, None
+        if not self._others or (fresh and not self._leads()):
+            # What was seen long ago must not pass anybody over when this controller leads again.
+            self._failed = dict.fromkeys(self._others, 0)
+            self._on_unreachable(frozenset())
             return
         answers = await asyncio.gather(*(self._ask(node) for node in self._others))
+        for node, answer in zip(self._others, answers, strict=True):
+            self._failed[node] = self._failed[node] + 1 if answer is None else 0
+        self._on_unreachable(frozenset(n for n, times in self._failed.items() if times >= 2))
+        if fresh:
+            return
         self.served = next((n for n, a in zip(self._others, answers, strict=True) if a), None)
         # With nobody to ask either, this controller is cut off from all: others may serve.
         alone = self.served is not None or all(answer is None for answer in answers)
--- a/mosswalk/service.py
+++ b/mosswalk/service.py
@@ -71,7 +71,8 @@
         self.desk = JobDesk(settings, self.client, self.mirror, self.users_writer, clock, rng)
         self.health = Health(
             [peer.host_name for peer in settings.known], self.peers,
-            lambda: self.mirror.confirmed_us, clock,
+            lambda: self.mirror.confirmed_us, clock, self.leadership.leads,
+            self.leadership.note_unreachable,
         )  # fmt: skip
         self.desk.elsewhere = self._poll_elsewhere
         # Followers need not hear of each change at once: with many controllers, their watches
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -166,6 +166,17 @@
     assert next_term(first, "b", {"b": "2"}, ["x"], above=7).term == 8
 
 
+def test_an_owner_that_the_leader_can_not_reach_gets_no_teams_until_it_can():
+    """Seen on a grown day: connections between controllers refused, and its teams stood still."""
+    runs = {"a": "1", "b": "1", "c": "1"}
+    first = next_term(None, "a", runs, ["x", "y", "z"])
+    assert "b" in first.owners.values() and not needs_new_term(first, runs)
+    assert needs_new_term(first, runs, {"b"})
+    second = next_term(first, "a", runs, ["x", "y", "z"], unreachable={"b"})
+    assert "b" not in second.owners.values() and second.runs == runs
+    assert not needs_new_term(second, runs, {"b"}) and needs_new_term(second, runs)
+
+
 def test_room_freed_for_a_job_is_not_given_back_to_the_one_that_was_stopped():
     stopped, urgent = job("j-7", tasks=1, priority="idle"), job("j-9", tasks=1)
     claimed = room(claimed_by=frozenset({"j-9"}))
