--- a/mosswalk/fleet/offers.py
+++ b/mosswalk/fleet/offers.py
@@ -60,7 +60,7 @@
         self._renting = renting
         self._clock = clock
         self._failed_on = failed_on
-        self._urgency = Urgency(settings.params.objectives)
+        self._urgency = Urgency(settings.params.objectives, settings.params.teams)
         self._teams = {team.name: team for team in settings.params.teams}
         self._shares = {
             name: settings.tuning.shares.get(name) or max(1.0, team.cpus)
--- a/mosswalk/placement/owner.py
+++ b/mosswalk/placement/owner.py
@@ -55,7 +55,7 @@
         self._leadership = leadership
         self._clock = clock
         self._ops = settings.params.state.txn_ops
-        self._urgency = Urgency(settings.params.objectives)
+        self._urgency = Urgency(settings.params.objectives, settings.params.teams)
         self._teams = {team.name: team for team in settings.params.teams}
         self._outcomes: dict[tuple[str, int], Outcome] = {}
         # Since when completed tasks of a job wait to be written.
--- a/mosswalk/placement/queues.py
+++ b/mosswalk/placement/queues.py
@@ -35,29 +35,46 @@
     """The order of a team's queue: priority first, then what can still be in time.
 
     A job that can't meet any of its times any more gives way to those that can: serving it first
-    would only make them late too. Its own times are its deadline and the aims for its class.
+    would only make them late too. Its own times are its deadline and the aims for its class, by
+    when to be done and by when to begin.
     """
 
-    def __init__(self, objectives: Iterable[Objective]) -> None:
-        self._within_us: dict[str, list[int]] = {}
+    def __init__(self, objectives: Iterable[Objective], teams: Iterable[Team] = ()) -> None:
+        self._limits = {team.name: milli_room(team.cpus_max) for team in teams}
+        self._within_us: dict[tuple[str, str], list[int]] = {}
         for aim in objectives:
-            if aim.kind == "finished" and aim.job_class is not None and aim.within_s is not None:
-                self._within_us.setdefault(aim.job_class, []).append(to_us(aim.within_s))
+            if aim.job_class is not None and aim.within_s is not None:
+                key = (aim.kind, aim.job_class)
+                self._within_us.setdefault(key, []).append(to_us(aim.within_s))
+
+    def _ready_us(self, job: Job, wall_us: int) -> int:
+        """When the job could be done if it had all its team's limit from now on."""
+        limit = self._limits.get(job.spec.team, 0)
+        waves = 1.0
+        if limit > 0 and job.cpus > 0:
+            left = job.spec.tasks - job.record.done_count
+            waves = max(1.0, left / max(1, limit // job.cpus))
+        return wall_us + to_us(job.spec.estimate_s * waves)
 
     def target_us(self, job: Job, wall_us: int) -> int | None:
         """The first of its times that the job can still meet."""
-        submitted_us = job.record.submitted_us
-        times = [submitted_us + w for w in self._within_us.get(job.spec.job_class, ())]
+        submitted_us, name = job.record.submitted_us, job.spec.job_class
+        ready_us = self._ready_us(job, wall_us)
+        times = [submitted_us + w for w in self._within_us.get(("finished", name), ())]
         if job.spec.deadline_s is not None:
             times.append(job.due_us())
-        ready_us = wall_us + to_us(job.spec.estimate_s)
-        return min((t for t in times if t >= ready_us), default=None)
+        ends = [t for t in times if t >= ready_us]
+        begins = [submitted_us + w for w in self._within_us.get(("wait", name), ())]
+        return min((*ends, *(t for t in begins if t >= wall_us)), default=None)
 
     def key(self, job: Job, wall_us: int) -> tuple[int, bool, int, int, str]:
         """Sorts a team's jobs."""
         submitted_us = job.record.submitted_us
         target_us = self.target_us(job, wall_us)
-        timed = job.spec.deadline_s is not None or job.spec.job_class in self._within_us
+        name = job.spec.job_class
+        timed = job.spec.deadline_s is not None or any(
+            (kind, name) in self._within_us for kind in ("finished", "wait")
+        )
         late = timed and target_us is None
         begun = job.record.live_count > 0 or job.record.done_count > 0
         waited_us = max(0, wall_us - submitted_us)
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -263,3 +263,14 @@
         got = choose_victims([(urgent, 1)], [room(cpus=0)], running, teams, {}, {}, 9)
         assert len(got) == stopped
     assert shielded(old, 200 * S) and not shielded(old, 100 * S)
+
+
+def test_a_job_too_large_for_its_teams_limit_to_be_in_time_gives_way_and_waits_count():
+    urgency = Urgency([Objective("wait", "soon", 90.0)], [Team("red", cpus_max=10.0)])
+    giant = job("j-1", 0, tasks=50, estimate_s=60.0, deadline_s=210.0)
+    small = job("j-2", 5 * S, tasks=9, estimate_s=60.0, deadline_s=210.0)
+    waits = job("j-3", 9 * S, tasks=9, job_class="soon", estimate_s=60.0)
+    order = sorted([giant, small, waits], key=lambda j: urgency.key(j, 10 * S))
+    assert [j.id for j in order] == ["j-3", "j-2", "j-1"]
+    # Without a limit it can be in time, and it came first.
+    assert Urgency([]).key(giant, 10 * S) < Urgency([]).key(small, 10 * S)
