--- a/tests/test_cluster.py
+++ b/tests/test_cluster.py
@@ -193,3 +193,103 @@
         assert 1 <= most <= 2
 
     cluster(test, teams=(Team("red"), Team("blue", cpus_max=4.0)))
+
+
+def test_a_machine_that_nothing_reaches_is_replaced_though_it_reports():
+    async def test(world, users):
+        world.services.add("j-000060")
+        await users.submit(spec("j-000060", kind="daemon", tasks=1, spot=False))
+        await users.eventually("GET", "/healthz", lambda s, b: len(world.on) == 1)
+        first = world.on["j-000060/0"]
+        world.workers[first][0].deaf = True
+        # Its lease runs out, and what is placed there again is never begun.
+        await users.eventually(
+            "GET", "/healthz", lambda s, b: world.on.get("j-000060/0", first) != first, 25.0
+        )
+        await users.eventually("GET", "/healthz", lambda s, b: first not in world.workers)
+
+    cluster(test)
+
+
+def test_workers_are_drawn_over_from_a_leader_cut_off_from_all_but_them():
+    async def test(world, users):
+        world.services.add("j-000070")
+        await users.submit(spec("j-000070", kind="daemon", tasks=3, spot=False))
+        await users.eventually("GET", "/healthz", lambda s, b: len(world.on) == 3)
+        where, old = dict(world.on), world.leader()
+        world.cut_off(old)
+        others = [n for n in world.controllers if n != old]
+        names = list(world.addresses)
+
+        def moved():
+            leads = [n for n in others if world.controllers[n][0].leadership.leads()]
+            return leads and all(
+                names[w.target % len(names)] == leads[0] for w, _ in world.workers.values()
+            )
+
+        for _ in range(120):
+            if moved():
+                break
+            await asyncio.sleep(0.05)
+        # The old one would answer them for 8.5 s.
+        assert moved()
+        await users.submit(spec("j-000071"), others[0])
+        for _ in range(200):
+            status, body = await users.call("GET", "/api/jobs/j-000071", node=others[1])
+            if status == 200 and body["phase"] == "done":
+                break
+            await asyncio.sleep(0.05)
+        assert body["phase"] == "done" and world.on.items() >= where.items()
+
+    cluster(test)
+
+
+def test_a_controller_refused_alone_says_so_and_its_users_still_get_answers():
+    async def test(world, users):
+        await users.submit(spec("j-000080"))
+        await users.done("j-000080")
+        await users.submit(spec("j-000081", kind="daemon", tasks=1, spot=False))
+        alone = next(n for n in world.controllers if n != world.leader())
+        world.state.refused.add(alone)
+        for _ in range(160):
+            if (await users.call("GET", "/healthz", node=alone))[0] == 503:
+                break
+            await asyncio.sleep(0.05)
+        assert (await users.call("GET", "/healthz", node=alone))[0] == 503
+        assert (await users.call("GET", "/healthz", node=world.leader()))[0] == 200
+        status, body = await users.call("GET", "/api/jobs/j-000081", node=alone)
+        assert status == 200 and body["ref"] == "j-000081"
+        assert (await users.call("GET", "/api/jobs/j-000404", node=alone))[0] == 404
+        world.state.refused.clear()
+        await users.eventually("GET", "/healthz", lambda s, b: s == 200)
+
+    cluster(test)
+
+
+def test_late_copies_of_reports_prove_nothing_to_the_next_leader():
+    async def test(world, users):
+        world.task_s = 6.0
+        await users.submit(spec("j-000090", tasks=2))
+        await users.eventually("GET", "/healthz", lambda s, b: len(world.on) == 2)
+        name = world.on["j-000090/0"]
+        copy = world.workers[name][0].report()
+        # What it could have said of another session, before ours; and a machine long gone.
+        early = {**copy, "tick": 0, "pieces": [
+            {"piece": "j-000090/0", "try": 1, "phase": "exited", "cause": "done"}]}  # fmt: skip
+        ghost = {**copy, "host": "vm-ghost", "addr": "127.0.0.1:9", "pieces": []}
+        await world.kill_controller(world.leader())
+        for _ in range(100):
+            if (leader := world.leader()) is not None:
+                break
+            await asyncio.sleep(0.02)
+        for _ in range(5):
+            for late in (early, ghost):
+                await users.call("POST", "/v1/report", late, node=leader)
+            await asyncio.sleep(0.05)
+        book = world.controllers[leader][0].steward.book
+        assert "vm-ghost" not in book.machines or book.machines["vm-ghost"].phase != "up"
+        await users.submit(spec("j-000091", tasks=12))
+        await users.done("j-000090")
+        await users.done("j-000091", 25.0)
+
+    cluster(test)
--- a/tests/world.py
+++ b/tests/world.py
@@ -57,6 +57,8 @@
         self.store = Store()
         self.deadlines: dict[int, tuple[float, float]] = {}
         self.down = False
+        # Controllers that it alone refuses, by the name that they send.
+        self.refused: set[str] = set()
 
     def app(self) -> web.Application:
         app = web.Application()
@@ -74,13 +76,13 @@
                 del self.deadlines[lease]
                 self.store.end_lease(lease)
 
-    def _check(self) -> None:
-        if self.down:
+    def _check(self, request: web.Request) -> None:
+        if self.down or request.headers.get("From") in self.refused:
             raise web.HTTPServiceUnavailable
         self.expire()
 
     async def get(self, request):
-        self._check()
+        self._check(request)
         row = self.store.rows.get(request.match_info["key"])
         if row is None:
             return web.json_response({"ledger": self.store.revision}, status=404)
@@ -88,7 +90,7 @@
         return web.Response(body=msgspec.json.encode(body))
 
     async def read(self, request):
-        self._check()
+        self._check(request)
         prefix, after = request.query["starts"], request.query.get("after", "")
         limit = int(request.query.get("limit", 100))
         keys = sorted(k for k in self.store.rows if k.startswith(prefix) and k > after)
@@ -98,7 +100,7 @@
         return web.Response(body=msgspec.json.encode(body))
 
     async def commit(self, request):
-        self._check()
+        self._check(request)
         transaction = msgspec.json.decode(await request.read(), type=wire.Transaction)
         try:
             return web.json_response({"ledger": self.store.commit(transaction)})
@@ -110,14 +112,14 @@
             return web.json_response({"error": "no such lease"}, status=400)
 
     async def grant(self, request):
-        self._check()
+        self._check(request)
         ttl = (await request.json())["ttl_ms"] / 1000
         lease = self.store.grant()
         self.deadlines[lease] = (time.monotonic() + ttl, ttl)
         return web.json_response({"hold": lease})
 
     async def touch(self, request):
-        self._check()
+        self._check(request)
         lease = int(request.match_info["id"])
         if lease not in self.deadlines:
             return web.Response(status=404)
@@ -126,13 +128,13 @@
         return web.json_response({})
 
     async def follow(self, request):
-        if self.down:
-            raise web.HTTPServiceUnavailable
+        self._check(request)
         prefix, after = request.query["starts"], int(request.query["after"])
         until = time.monotonic() + int(request.query.get("hold_ms", 0)) / 1000
         while True:
             self.expire()
-            events = [] if self.down else [
+            refused = self.down or request.headers.get("From") in self.refused
+            events = [] if refused else [
                 e for e in self.store.events
                 if e["stamp"] > after and (e.get("write") or e["delete"]).startswith(prefix)
             ]  # fmt: skip
@@ -153,6 +155,8 @@
         self.target = 0
         self.answered = time.monotonic()
         self.changed = asyncio.Event()
+        # Its reports go out, but neither answers nor orders reach it.
+        self.deaf = False
 
     def report(self) -> dict:
         self.tick += 1
@@ -186,6 +190,8 @@
             self.changed.set()
 
     async def orders(self, request):
+        if self.deaf:
+            await asyncio.sleep(60)
         body = await request.json()
         if body["epoch"] < self.epoch or body["tenure"] != self.tenure:
             return web.json_response(self.report(), status=409)
@@ -227,6 +233,8 @@
         except (aiohttp.ClientError, TimeoutError, OSError):
             self.target += 1
             return
+        if self.deaf:
+            return
         if status == 200:
             answer = msgspec.json.decode(body)
             if answer["epoch"] >= self.epoch:
@@ -348,7 +356,7 @@
         stack.push_async_callback(self.stop)
 
     async def start_controller(self, name: str) -> None:
-        session = aiohttp.ClientSession()
+        session = aiohttp.ClientSession(headers={"From": name})
         rng = random.Random(f"{name}-{len(self.controllers)}-{time.monotonic_ns()}")
         controller = Controller(self.settings[name], session, SystemClock(), rng)
         users, peers = controller.apps()
@@ -359,6 +367,16 @@
         tasks = [asyncio.create_task(work) for work in controller.work()]
         self.controllers[name] = (controller, tasks, [*runners, session])
 
+    def cut_off(self, name: str) -> None:
+        """From the state service and the other controllers, both ways, but not from workers."""
+        self.state.refused.add(name)
+        nowhere = f"127.0.0.1:{free_port()}"
+        for other, (controller, *_) in self.controllers.items():
+            addresses = controller.peers._addresses
+            for known in addresses:
+                if name in (other, known):
+                    addresses[known] = nowhere
+
     async def kill_controller(self, name: str) -> None:
         """As a crash: nothing is said to anybody."""
         _, tasks, held = self.controllers.pop(name)
