--- a/mosswalk/peers/health.py
+++ b/mosswalk/peers/health.py
@@ -13,12 +13,13 @@
 from collections.abc import Callable, Iterable
 from typing import Protocol
 
-from mosswalk.actors import SECOND_US, Clock
+from mosswalk.actors import Clock
 
 log = logging.getLogger(__name__)
 
-# The watch confirms at least every two seconds while the state service serves.
-FRESH_US = 4 * SECOND_US
+# A watch that brings nothing lasts 2 s and confirms what was so when it began: until the next one
+# ends, that is up to 4.2 s ago. Seen on a calm minute: all followers took themselves for refused.
+FRESH_US = 5_500_000
 _ASK_S = 1.0
 
 
