Age a job's tasks alike whether it has begun or not

Now idle work competes by its times after 50 s, all work comes before younger standard work after 300 s; the overdue rule stays.

--- a/mosswalk/placement/queues.py
+++ b/mosswalk/placement/queues.py
@@ -11,13 +11,13 @@
 from mosswalk.placement.rooms import Room, ZoneRule, best_room, zone_rule
 
 _UNTIMED_US = 600_000_000
-# A job that waits to begin moves ahead a priority after each such while, and comes before all
-# others after three; the users want every job begun within four minutes.
+# Idle work competes with standard work by its times after it has waited this long, and all work
+# comes before younger standard work after the second, begun or not: it must not be starved halfway.
 _AGING_US = 50_000_000
-# From then on its team's freed limit and claimed room are kept for it.
-OVERDUE_US = 3 * _AGING_US
-# A job that has begun goes on aging, but slowly: it must not be starved halfway.
-_AGING_BEGUN_US = 150_000_000
+_AGED_US = 300_000_000
+# A job that has not begun by then comes before all others; its team's freed limit and claimed room
+# are kept for it. The users want every job begun within four minutes.
+OVERDUE_US = 150_000_000
 
 
 def overdue(job: Job, wall_us: int) -> bool:
@@ -28,7 +28,7 @@
 
 def shielded(job: Job, wall_us: int) -> bool:
     """Whether a job is so old that only prod work may stop its tasks."""
-    return wall_us - job.record.submitted_us > _AGING_BEGUN_US
+    return wall_us - job.record.submitted_us > OVERDUE_US
 
 
 class Urgency:
@@ -76,17 +76,18 @@
             (kind, name) in self._within_us for kind in ("finished", "wait")
         )
         late = timed and target_us is None
-        begun = job.record.live_count > 0 or job.record.done_count > 0
-        waited_us = max(0, wall_us - submitted_us)
-        aged = waited_us // (_AGING_BEGUN_US if begun else _AGING_US)
-        if aged and late:
-            # What can no longer be in time gives way to what can, but not for ever.
-            late, aged = False, aged - 1
+        waited_us = wall_us - submitted_us
+        rank = job.rank
+        if waited_us > _AGED_US:
+            rank = min(rank, 1)
+        elif waited_us > _AGING_US:
+            rank = min(rank, 2)
+        # What can no longer be in time gives way to what can, but not for ever.
+        late = late and waited_us <= OVERDUE_US
         # Work without a time of its own is neither hurried nor left behind for ever.
         target_us = submitted_us + _UNTIMED_US if target_us is None else target_us
         if overdue(job, wall_us):
             return (-1, False, submitted_us, submitted_us, job.id)
-        rank = max(min(job.rank, 1), job.rank - aged)
         return (rank, late, target_us, submitted_us, job.id)
 
 
