--- a/mosswalk/placement/rooms.py
+++ b/mosswalk/placement/rooms.py
@@ -128,7 +128,7 @@
 
 
 # Fetches that differ by less than this are alike to a replica that waits for its image.
-_FETCH_STEP_S = 1.5
+_FETCH_STEP_S = 0.3
 
 
 def best_room(job: Job, rooms: Iterable[Room], rule: ZoneRule, avoid: set[str]) -> Room | None:
