--- /dev/null
+++ b/tests/test_offers.py
@@ -0,0 +1,136 @@
+"""What a plan offers, and what it costs: by what has changed, not by how much there is."""
+
+from types import SimpleNamespace
+
+from hypothesis import given
+from hypothesis import strategies as st
+from msgspec import Raw, structs
+
+from mosswalk.config import Team, load
+from mosswalk.fleet.book import Book, Machine
+from mosswalk.fleet.offers import Offers
+from mosswalk.jobs.board import Board
+from mosswalk.jobs.state import Draft, new_record
+from mosswalk.placement.owner import Owner
+from mosswalk.store import records
+from mosswalk.store.records import TermRecord
+from mosswalk.store.writer import Change
+from mosswalk.wire.peers import Outcome
+from mosswalk.wire.workers import TaskReport
+from tests.standins import FakeClock, shape, spec
+from tests.test_config import write
+from tests.test_jobs import MirrorOf
+
+S = 1_000_000
+
+
+class Counted(Offers):
+    builds = 0
+
+    def _build(self, machine):
+        self.builds += 1
+        return super()._build(machine)
+
+
+def made(tmp_path, machines):
+    settings = load(write(tmp_path))
+    settings = structs.replace(settings, params=structs.replace(
+        settings.params, teams=(Team("red"),)))  # fmt: skip
+    mirror, book, clock = MirrorOf(), Book(), FakeClock()
+    board = Board(mirror)
+    book.types = {"small": shape()}
+    for i in range(machines):
+        name = f"vm-{i:04d}"
+        book.machines[name] = Machine(name, "small", "a", False, "up", 0, 0, "x", hears=True,
+                                      seen_us=clock.us)  # fmt: skip
+    term = TermRecord(1, "a", {"red": "a"})
+    leadership = SimpleNamespace(term=term, may_start=lambda: True, node="a")
+    renting = SimpleNamespace(cordoned=set(), note_stuck=lambda queues: None)
+    offers = Counted(settings, mirror, board, book, leadership, renting, clock, {})
+    return offers, mirror, board, book, clock, settings
+
+
+def submit(mirror, placed=(), **changes):
+    record = new_record(spec(**changes), 5, 256)
+    key = records.job_key(record.spec.id)
+    mirror.commit(Change({key: 0}, {key: Raw(records.encode(record))}))
+    return key
+
+
+def place(mirror, board, count, machine):
+    draft = Draft(next(iter(board.jobs.values())), 16)
+    for index in range(count):
+        draft.place(index, machine, 1, 1)
+    mirror.commit(draft.change({}))
+
+
+def test_a_plan_builds_only_the_room_of_machines_of_which_something_changed(tmp_path):
+    offers, mirror, board, _, clock, _ = made(tmp_path, 300)
+    offers.refresh()
+    offers.plan()
+    assert offers.builds == 300
+    offers.refresh()
+    offers.plan()
+    assert offers.builds == 300
+    offers.touch("vm-0007")
+    submit(mirror, tasks=1)
+    ((node, offer),) = offers.plan()
+    assert node == "a" and len(offer.teams[0].slots) == 1 and offers.builds == 301
+    place(mirror, board, 1, offer.teams[0].slots[0].machine)
+    offers.plan()
+    assert offers.builds == 302
+    # Silence takes room away by time alone.
+    clock.us += 60 * S
+    offers.refresh()
+    assert offers.rooms() == []
+
+
+@given(
+    st.sampled_from([None, "pulling", "running", "saving", "exited"]),
+    st.booleans(), st.booleans(),
+)  # fmt: skip
+def test_room_is_free_once_the_exit_is_reported_and_only_on_machines_that_hear(
+    tmp_path_factory, phase, hears, deaf
+):
+    offers, mirror, board, book, _, _ = made(tmp_path_factory.mktemp("offers"), 1)
+    submit(mirror, tasks=2, cpus=3.0)
+    place(mirror, board, 1, "vm-0000")
+    machine = book.machines["vm-0000"]
+    machine.hears, machine.deaf_since_us = hears, 5 if deaf else None
+    if phase is not None:
+        machine.tasks = {("j-000001/0", 1): TaskReport("j-000001/0", 1, phase, "done")}
+    rooms = offers.rooms()
+    if not hears or deaf:
+        assert rooms == []
+    else:
+        assert rooms[0].cpus == (4000 if phase == "exited" else 1000)
+
+
+def test_completed_tasks_are_gathered_while_writes_are_scarce_but_never_the_last_one(tmp_path):
+    _, mirror, board, _, clock, settings = made(tmp_path, 1)
+    submit(mirror, tasks=4)
+    place(mirror, board, 3, "vm-0000")
+    ample = False
+    writer = SimpleNamespace(ample=lambda: ample, share=lambda part: None)
+    leadership = SimpleNamespace(owns=lambda team: True)
+    owner = Owner(settings, mirror, board, writer, leadership, clock)
+
+    def drafted(*outcomes):
+        owner.outcomes(SimpleNamespace(outcomes=[
+            Outcome(f"j-000001/{i}", i + 1, "vm-0000", fate) for i, fate in outcomes]))  # fmt: skip
+        drafts = {}
+        owner._apply_outcomes(drafts)
+        return sum(len(d.settled) for d in drafts.values())
+
+    assert drafted((0, "done")) == 0
+    # What must be placed again is written at once, with all that was gathered.
+    assert drafted((1, "lost")) == 2
+    assert drafted((0, "done")) == 0
+    clock.us += 3 * S
+    assert drafted() == 1
+    ample = True
+    assert drafted((0, "done")) == 1
+    ample = False
+    record = structs.replace(board.jobs["j-000001"].record, done_count=3)
+    board.jobs["j-000001"].record = record
+    assert drafted((2, "done")) == 1
