Let prod work pass what is kept for the overdue until its last minute

On 32 machines an overdue idle job came before replicas, and room kept for it was closed to them. Replicas now wait for nobody's kept room, and the overdue come before them only after 200 s.

--- a/mosswalk/placement/queues.py
+++ b/mosswalk/placement/queues.py
@@ -15,9 +15,11 @@
 # comes before younger standard work after the second, begun or not: it must not be starved halfway.
 _AGING_US = 50_000_000
 _AGED_US = 300_000_000
-# A job that has not begun by then comes before all others; its team's freed limit and claimed room
-# are kept for it. The users want every job begun within four minutes.
+# A job that has not begun by then comes before all others but prod work; its team's freed limit
+# and claimed room are kept for it; by the last it comes before prod work too. The users want every
+# job begun within four minutes.
 OVERDUE_US = 150_000_000
+_LAST_US = 200_000_000
 
 
 def overdue(job: Job, wall_us: int) -> bool:
@@ -87,7 +89,9 @@
         # Work without a time of its own is neither hurried nor left behind for ever.
         target_us = submitted_us + _UNTIMED_US if target_us is None else target_us
         if overdue(job, wall_us):
-            return (-1, False, submitted_us, submitted_us, job.id)
+            # Behind prod work at first: a replica that waits costs more than a batch job's start.
+            rank = 1 if waited_us < _LAST_US else -1
+            return (rank, False, submitted_us, submitted_us, job.id)
         return (rank, late, target_us, submitted_us, job.id)
 
 
--- a/mosswalk/placement/rooms.py
+++ b/mosswalk/placement/rooms.py
@@ -149,8 +149,9 @@
             continue
         if not room.allows(job) or room.machine in avoid or not rule.allows(room.zone):
             continue
-        if room.claimed_by and job.id not in room.claimed_by:
-            # Else the stopped task itself would be put back at once, and stopped again.
+        if room.claimed_by and job.id not in room.claimed_by and job.rank > 0:
+            # Else the stopped task itself would be put back at once, and stopped again. Replicas
+            # wait for nobody.
             continue
         if spec.kind == "daemon":
             fetch_s = 0.0 if spec.image in room.images else spec.image_gb * room.fetch_s_per_gb
