--- a/mosswalk/placement/rooms.py
+++ b/mosswalk/placement/rooms.py
@@ -127,20 +127,21 @@
     return room.core_price * (fetch_s + max(_LEAST_RUN_S, spec.estimate_s))
 
 
-# Fetches that differ by less than this are alike to a replica that waits for its image.
-_FETCH_STEP_S = 0.3
+# Fetches that differ by less than this are alike: to a replica, whose users wait, and to others.
+_REPLICA_STEP_S = 0.3
+_FETCH_STEP_S = 3.0
 
 
 def best_room(job: Job, rooms: Iterable[Room], rule: ZoneRule, avoid: set[str]) -> Room | None:
     """Where the job's next task goes.
 
-    A replica is wanted at once, so it goes where its image is at hand or soon there; and as it
-    stays long, it goes where replicas are already, then on cheap room: a lone one keeps a whole
-    machine from being given back. Other work goes where its stay costs least.
-    Then a tight fit, so that large room stays whole.
+    It goes where its image is at hand or soon there: a fetch holds the room and does nothing.
+    A replica stays long, so among those it goes where replicas are already, then on cheap room:
+    a lone one keeps a whole machine from being given back. Other work goes where its stay costs
+    least. Then a tight fit, so that large room stays whole.
     """
     best: Room | None = None
-    best_key: tuple[bool, float, float, int, int, str] | None = None
+    best_key: tuple[bool, int, float, int, int, str] | None = None
     spec = job.spec
     cpus, gpus, memory = job.cpus, job.gpus, job.memory
     for room in rooms:
@@ -153,12 +154,12 @@
             # Else the stopped task itself would be put back at once, and stopped again. Replicas
             # wait for nobody.
             continue
+        fetch_s = 0.0 if spec.image in room.images else spec.image_gb * room.fetch_s_per_gb
         if spec.kind == "daemon":
-            fetch_s = 0.0 if spec.image in room.images else spec.image_gb * room.fetch_s_per_gb
-            first = float(round(fetch_s / _FETCH_STEP_S))
+            first = round(fetch_s / _REPLICA_STEP_S)
             second = (0.0 if room.replica_cpus else 1.0) + round(room.core_price, 3)
         else:
-            first, second = round(_money(job, room), 2), 0.0
+            first, second = round(fetch_s / _FETCH_STEP_S), round(_money(job, room), 2)
         key = (
             room.cordoned,
             first,
