Move replicas together in calm times, so that machines can be given back

One replica in 250 is moved at a time, off the machine whose emptying saves most, only while nothing waits for room, only to where its image is at hand, and none younger than 60 s.

--- /dev/null
+++ b/mosswalk/factory/consolidate.py
@@ -0,0 +1,72 @@
+"""Which replicas to move so that the machine they are on can be given back.
+
+The paper's machines fall idle when load drops (Algorithm 2 removes idle ones). Replicas never
+end by themselves: a few of them left on a machine after a burst keep all of it rented to the end
+of their services. Moving one costs its users a gap of about a second, so few are moved at once,
+and only to where their image is at hand.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, replace
+
+from mosswalk.jobs.state import Job
+from mosswalk.placement.rooms import Room, zone_rule
+from mosswalk.store.records import Attempt
+
+# A machine more used than this is left as it is.
+_MOST_USED = 0.5
+# A fetch longer than this would make the gap too long.
+_MOST_FETCH_S = 0.5
+
+
+@dataclass(slots=True)
+class Host:
+    """A machine that runs replicas."""
+
+    room: Room
+    # The used part of its scarcer amount, and what it costs an hour.
+    load: float
+    price: float
+    replicas: list[tuple[Job, Attempt]]
+    # Nothing else runs there, and all its replicas have run for a while.
+    settled: bool
+
+
+def _fits_elsewhere(
+    job: Job, attempt: Attempt, rooms: Iterable[Room], zone_of: Mapping[str, str]
+) -> Room | None:
+    others = {m: z for m, z in zone_of.items() if m != attempt.machine}
+    rule = zone_rule(job, {**others, attempt.machine: ""})
+    if rule is None:
+        return None
+    for room in rooms:
+        if not room.holds(job) or not room.allows(job) or not rule.allows(room.zone):
+            continue
+        if job.spec.image in room.images:
+            return room
+        if job.spec.image_gb * room.fetch_s_per_gb <= _MOST_FETCH_S:
+            return room
+    return None
+
+
+def to_empty(hosts: Iterable[Host], zone_of: Mapping[str, str]) -> Host | None:
+    """The machine whose emptying saves most, if its replicas fit on the others."""
+    everything = list(hosts)
+    candidates = [h for h in everything if h.settled and 0 < h.load < _MOST_USED]
+    for host in sorted(candidates, key=lambda h: (-h.price * (1 - h.load), h.room.machine)):
+        # Onto fuller machines only, or two of them would trade replicas for ever.
+        rooms = [
+            replace(h.room)
+            for h in sorted(everything, key=lambda h: (-h.load, h.room.machine))
+            if h is not host and h.load >= host.load
+        ]
+        for job, attempt in host.replicas:
+            found = _fits_elsewhere(job, attempt, rooms, zone_of)
+            if found is None:
+                break
+            found.take(job)
+        else:
+            return host
+    return None
--- /dev/null
+++ b/mosswalk/fleet/moving.py
@@ -0,0 +1,88 @@
+"""Moves replicas together in calm times, so that machines can be given back."""
+
+from __future__ import annotations
+
+import logging
+
+from mosswalk.actors import SECOND_US, Clock
+from mosswalk.factory.consolidate import Host, to_empty
+from mosswalk.fleet.book import Book, Machine
+from mosswalk.fleet.offers import Offers
+from mosswalk.jobs.board import AttemptKey, Board
+from mosswalk.jobs.state import Job, milli_room
+from mosswalk.store.records import Attempt
+
+log = logging.getLogger(__name__)
+
+# A start that is stopped within 30 s does not count for its user.
+_SETTLED_US = 60 * SECOND_US
+# How long a machine that is being emptied gets nothing new: its give-back takes a while.
+_EMPTYING_US = 30 * SECOND_US
+# One replica at a time is moved for this many that run.
+_RUNNING_A_MOVE = 250
+
+
+class Moving:
+    """Chooses replicas to stop; the team owners place them again like any other."""
+
+    def __init__(self, book: Book, board: Board, offers: Offers, clock: Clock) -> None:
+        self._book = book
+        self._board = board
+        self._offers = offers
+        self._clock = clock
+        self._seen_us: dict[AttemptKey, int] = {}
+        self._moved: set[str] = set()
+        self._emptying: dict[str, int] = {}
+
+    def emptying(self) -> set[str]:
+        """Machines that are to get nothing new."""
+        now_us = self._clock.now_us()
+        self._emptying = {m: until for m, until in self._emptying.items() if until > now_us}
+        return set(self._emptying)
+
+    def _host(self, machine: Machine, before: dict[AttemptKey, int], now_us: int) -> Host | None:
+        room, shape = self._offers.room(machine), self._book.types.get(machine.type)
+        if room is None or shape is None or not machine.has_replica:
+            return None
+        replicas: list[tuple[Job, Attempt]] = []
+        settled = True
+        for key, attempt in self._board.attempts_on(machine.name).items():
+            job = self._board.jobs.get(key[0])
+            if job is None or not job.open or job.spec.kind != "daemon":
+                settled = False
+                continue
+            replicas.append((job, attempt))
+            since_us = self._seen_us[key] = before.get(key, now_us)
+            settled = settled and now_us - since_us >= _SETTLED_US
+        load = max(
+            machine.used_cpus / max(1, milli_room(shape.cpus)),
+            machine.used_memory / max(1, milli_room(shape.memory_gb)),
+        )
+        price = shape.spot_price if machine.spot else shape.price
+        return Host(room, load, price, replicas, settled)
+
+    def turn(self) -> list[tuple[Job, Attempt]]:
+        """The replicas to stop now."""
+        now_us = self._clock.now_us()
+        before, self._seen_us = self._seen_us, {}
+        found = (self._host(machine, before, now_us) for machine in self._book.machines.values())
+        hosts = [host for host in found if host is not None]
+        running = sum(len(host.replicas) for host in hosts)
+        self._moved = {
+            job_id
+            for job_id in self._moved
+            if (job := self._board.jobs.get(job_id)) is not None and job.pending_count() > 0
+        }
+        if self._moved:
+            # One that was stopped has no place yet: first things first.
+            return []
+        host = to_empty(hosts, self._book.zone_of())
+        if host is None:
+            return []
+        name = host.room.machine
+        if name not in self._emptying:
+            log.info("emptying %s: its %d replicas fit elsewhere", name, len(host.replicas))
+        self._emptying[name] = now_us + _EMPTYING_US
+        chosen = host.replicas[: max(1, running // _RUNNING_A_MOVE)]
+        self._moved = {job.id for job, _ in chosen}
+        return chosen
--- a/mosswalk/fleet/renting.py
+++ b/mosswalk/fleet/renting.py
@@ -183,10 +183,10 @@
                 self._book.machines[name] = machine
 
     def turn(
-        self, room_of: Callable[[Machine], Room | None], calls: int
+        self, room_of: Callable[[Machine], Room | None], calls: int, emptying: set[str]
     ) -> tuple[dict[Pool, tuple[int, ...]], list[GiveBack]]:
         """One turn of the loops: rents by pool, and machines to return."""
-        self.cordoned = to_cordon(self._occupancy(room_of))
+        self.cordoned = to_cordon(self._occupancy(room_of)) | emptying
         wanted: dict[Pool, tuple[int, ...]] = {}
         returned: list[GiveBack] = []
         for decision in self._factory.decide(self._view(self.waiting(), calls)):
--- a/mosswalk/fleet/steward.py
+++ b/mosswalk/fleet/steward.py
@@ -32,6 +32,7 @@
     TermBegan,
     Tick,
 )
+from mosswalk.fleet.moving import Moving
 from mosswalk.fleet.offers import Offers
 from mosswalk.fleet.orders import judge
 from mosswalk.fleet.pushes import Pushes
@@ -69,6 +70,7 @@
 _LIST_US = 4 * SECOND_US
 _TYPES_US = 60 * SECOND_US
 _PREEMPT_US = 500_000
+_MOVE_US = SECOND_US
 _ORPHANS_US = 60 * SECOND_US
 # How long room freed by stopping attempts is kept for those it was freed for.
 _CLAIM_US = 4 * SECOND_US
@@ -141,6 +143,7 @@
         self._offers = Offers(
             settings, mirror, board, self.book, leadership, self._renting, clock, self._failed_on
         )
+        self._moving = Moving(self.book, board, self._offers, clock)
         self.cloud: CloudCaller | None = None
         self._leading = False
         self._since_us = 0
@@ -153,6 +156,7 @@
         self._asked_types_us = 0
         self._factory_us = 0
         self._preempt_us = 0
+        self._moved_us = 0
         self._orphans_us = 0
         self._plan_scheduled = False
         self._plan_rest_us = 0
@@ -508,6 +512,9 @@
         if now_us - self._factory_us >= self._period_us and self._ready_to_rent():
             self._factory_us = now_us
             self._run_factory()
+        if now_us - self._moved_us > _MOVE_US and self._ready_to_rent():
+            self._moved_us = now_us
+            self._move()
         self._poke()
 
     def _ready_to_rent(self) -> bool:
@@ -731,22 +738,35 @@
         )
         now_us = self._clock.now_us()
         for victim in victims:
-            spec = victim.job.spec
+            spec, attempt = victim.job.spec, victim.attempt
             grace_s = spec.save_s if worth_saving(spec) else 0.0
-            key = (victim.job.id, victim.attempt.task, victim.attempt.number)
-            self._stops[key] = _Stop(now_us, grace_s)
-            name = victim.attempt.machine
-            claim_us = now_us + _CLAIM_US + to_us(grace_s)
-            self._offers.claim(name, claim_us, victim.wanted_by)
+            self._offers.claim(
+                attempt.machine, now_us + _CLAIM_US + to_us(grace_s), victim.wanted_by
+            )
             log.info("stopping %s/%d attempt %d on %s for more urgent work",
-                     *key, victim.attempt.machine)  # fmt: skip
-            there = self.book.machines.get(victim.attempt.machine)
-            if there is not None:
-                order = Order("kill", task_name(key[0], key[1]), key[2], grace_s)
-                self._pushes.push(there, order)
+                     spec.id, attempt.task, attempt.number, attempt.machine)  # fmt: skip
+            self._stop(victim.job, attempt, grace_s)
+
+    def _move(self) -> None:
+        """Move replicas together, while nothing waits for room."""
+        if self._renting.waiting():
+            return
+        for job, attempt in self._moving.turn():
+            log.info("moving %s/%d attempt %d off %s",
+                     job.id, attempt.task, attempt.number, attempt.machine)  # fmt: skip
+            self._stop(job, attempt, 0.0)
+
+    def _stop(self, job: Job, attempt: records.Attempt, grace_s: float) -> None:
+        self._stops[(job.id, attempt.task, attempt.number)] = _Stop(self._clock.now_us(), grace_s)
+        machine = self.book.machines.get(attempt.machine)
+        if machine is not None:
+            order = Order("kill", task_name(job.id, attempt.task), attempt.number, grace_s)
+            self._pushes.push(machine, order)
 
     def _run_factory(self) -> None:
-        wanted, returned = self._renting.turn(self._offers.room, self._calls_left())
+        wanted, returned = self._renting.turn(
+            self._offers.room, self._calls_left(), self._moving.emptying()
+        )
         for back in returned:
             self._give_back(back)
         if self.cloud is not None:
--- a/tests/test_factory.py
+++ b/tests/test_factory.py
@@ -5,6 +5,7 @@
 from hypothesis import strategies as st
 
 from mosswalk.config.operator import FactoryTuning
+from mosswalk.factory.consolidate import Host, to_empty
 from mosswalk.factory.cordon import Occupancy, to_cordon
 from mosswalk.factory.load import Dwell, load_ratio, weight
 from mosswalk.factory.loop import Factory, GiveBack, MachineView, Rent, View, WaitingTasks
@@ -19,6 +20,7 @@
 from mosswalk.jobs.state import Job, new_record
 from mosswalk.placement.rooms import Room, ZoneRule
 from tests.standins import shape, spec
+from tests.test_placement import job as placed
 
 S = 1_000_000
 figures = st.builds(
@@ -239,3 +241,37 @@
     assert factory.decide(view(1, busy, [urgent])) != []
     # With no machine to wait for, it is rented all the same.
     assert factory.decide(view(2, [], [little])) != []
+
+
+def host(name, replicas, cpus=4000, settled=True, zone="a", images=("img",)):
+    room = Room(name, "small", zone, False, 1, cpus - 1000 * len(replicas), 0, 16_000,
+                frozenset(images), fetch_s_per_gb=5.0)  # fmt: skip
+    return Host(room, 1000 * len(replicas) / cpus, 0.4, replicas, settled)
+
+
+def replicas(job_id, machines, **changes):
+    made = placed(job_id, live=machines, kind="daemon", spot=False, **changes)
+    return [(made, attempt) for attempt in made.live()]
+
+
+def test_a_machine_with_few_replicas_is_emptied_onto_fuller_ones_with_their_image():
+    few, more = replicas("j-1", ["vm-1"]), replicas("j-2", ["vm-2"] * 2)
+    zones = {"vm-1": "a", "vm-2": "a"}
+    assert to_empty([host("vm-1", few), host("vm-2", more)], zones).room.machine == "vm-1"
+    # Not while other work is there, onto a machine without the image, or where it does not fit.
+    assert to_empty([host("vm-1", few, settled=False), host("vm-2", more)], zones) is None
+    assert to_empty([host("vm-1", few), host("vm-2", more, images=())], zones) is None
+    assert to_empty([host("vm-1", few), host("vm-2", more, cpus=2000)], zones) is None
+    assert to_empty([host("vm-1", few)], zones) is None
+
+
+def test_replicas_that_must_be_spread_stay_in_their_zones():
+    spread = replicas("j-1", ["vm-1", "vm-2"], tasks=2, spread=True)
+    here, there = [spread[0]], [spread[1]]
+    zones = {"vm-1": "a", "vm-2": "b", "vm-3": "b", "vm-4": "a"}
+    busy = replicas("j-2", ["vm-3"] * 2)
+    hosts = [host("vm-1", here), host("vm-2", there, zone="b", settled=False),
+             host("vm-3", busy, zone="b", settled=False)]  # fmt: skip
+    assert to_empty(hosts, zones) is None
+    hosts.append(host("vm-4", replicas("j-3", ["vm-4"] * 2), settled=False))
+    assert to_empty(hosts, zones).room.machine == "vm-1"
