--- a/mosswalk/fleet/offers.py
+++ b/mosswalk/fleet/offers.py
@@ -146,7 +146,7 @@
                     for team in reservation.teams:
                         self._cool[team] = now_us + _COOL_US
 
-    def _taking(self, machine: Machine) -> Iterator[AttemptKey]:
+    def taking(self, machine: Machine) -> Iterator[AttemptKey]:
         """The attempts that may take room: all but those whose exit the worker has reported.
 
         The records show an exit later, as writes are scarce; its room need not wait for that.
@@ -160,7 +160,7 @@
         machine.used_cpus = machine.used_memory = 0
         machine.has_replica = False
         attempts = self._board.attempts_on(machine.name)
-        for key in self._taking(machine):
+        for key in self.taking(machine):
             job = self._board.jobs.get(key[0])
             if job is not None:
                 machine.used_cpus += job.cpus
@@ -203,7 +203,7 @@
             cordoned=machine.name in self._renting.cordoned,
             claimed_by=self._claimants(machine.name),
         )
-        for key in self._taking(machine):
+        for key in self.taking(machine):
             job = self._board.jobs.get(key[0])
             if job is not None:
                 room.take(job)
--- /dev/null
+++ b/mosswalk/fleet/preempting.py
@@ -0,0 +1,64 @@
+"""Which attempts the leader stops for more urgent work that found no room."""
+
+from __future__ import annotations
+
+from collections.abc import Container
+from dataclasses import replace
+
+from mosswalk.actors import Clock
+from mosswalk.config import Settings
+from mosswalk.fleet.book import Book
+from mosswalk.fleet.offers import Offers
+from mosswalk.fleet.renting import Renting
+from mosswalk.jobs.board import AttemptKey, Board
+from mosswalk.placement.preemption import Victim, choose_victims
+from mosswalk.placement.queues import Usage, shielded, usage_by_team, within
+from mosswalk.placement.rooms import Room
+
+_MOST_VICTIMS = 16
+
+
+class Preempting:
+    """Shows the choice what runs where and what waits."""
+
+    def __init__(
+        self, settings: Settings, book: Book, board: Board, offers: Offers, renting: Renting,
+        clock: Clock,
+    ) -> None:  # fmt: skip
+        self._teams = {team.name: team for team in settings.params.teams}
+        self._book = book
+        self._board = board
+        self._offers = offers
+        self._renting = renting
+        self._clock = clock
+
+    def victims(self, stopping: Container[AttemptKey]) -> list[Victim]:
+        """Whom to stop now, besides those that are being stopped already."""
+        usage = usage_by_team(self._board.jobs.values())
+        stuck = [
+            (w.job, w.count)
+            for w in self._renting.waiting()
+            if w.job.rank == 0
+            or (w.job.rank < 3 and within(self._teams[w.job.spec.team],
+                usage.get(w.job.spec.team) or Usage(), w.job, limit=False))
+        ]  # fmt: skip
+        if not stuck:
+            return []
+        wall_us = self._clock.wall_us()
+        rooms: list[Room] = []
+        running: dict[str, list[Victim]] = {}
+        for shared in self._offers.rooms():
+            room = replace(shared)
+            rooms.append(room)
+            for key, attempt in self._board.attempts_on(room.machine).items():
+                job = self._board.jobs.get(key[0])
+                if job is None:
+                    continue
+                if key in stopping or not job.open:
+                    room.take(job, -1)
+                elif job.rank > 0:
+                    victim = Victim(job, attempt, shielded=shielded(job, wall_us))
+                    running.setdefault(room.machine, []).append(victim)
+        return choose_victims(
+            stuck, rooms, running, self._teams, usage, self._book.zone_of(), _MOST_VICTIMS
+        )
--- a/mosswalk/fleet/steward.py
+++ b/mosswalk/fleet/steward.py
@@ -9,7 +9,7 @@
 import asyncio
 import logging
 from collections.abc import Awaitable, Iterable
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 from typing import Protocol
 
 import aiohttp
@@ -35,6 +35,7 @@
 from mosswalk.fleet.moving import Moving
 from mosswalk.fleet.offers import Offers
 from mosswalk.fleet.orders import judge
+from mosswalk.fleet.preempting import Preempting
 from mosswalk.fleet.pushes import Pushes
 from mosswalk.fleet.renting import Renting
 from mosswalk.fleet.suspicion import Patience, to_release
@@ -42,14 +43,7 @@
 from mosswalk.jobs.state import Job, split_task_name, task_name
 from mosswalk.leadership.actor import Leadership
 from mosswalk.placement.owner import Owner
-from mosswalk.placement.preemption import Victim, choose_victims, worth_saving
-from mosswalk.placement.queues import (
-    Usage,
-    shielded,
-    usage_by_team,
-    within,
-)
-from mosswalk.placement.rooms import Room
+from mosswalk.placement.preemption import worth_saving
 from mosswalk.store import records
 from mosswalk.store.client import ConflictError, RefusedError, UnknownOutcomeError
 from mosswalk.store.mirror import Mirror
@@ -74,7 +68,6 @@
 _ORPHANS_US = 60 * SECOND_US
 # How long room freed by stopping attempts is kept for those it was freed for.
 _CLAIM_US = 4 * SECOND_US
-_MOST_VICTIMS = 16
 # Grace after taking over, until workers have found their way to us.
 _TAKEOVER_US = 8 * SECOND_US
 # Those that have not found it by then are called, so many a tick, and again after as long.
@@ -126,7 +119,6 @@
         self._peers = peers
         self._session = session
         self._clock = clock
-        self._teams = {team.name: team for team in settings.params.teams}
         workers = settings.params.workers
         self._silent_us = to_us(settings.tuning.fleet.silent_reports * workers.report_s)
         self._patience = Patience(
@@ -143,6 +135,9 @@
         self._offers = Offers(
             settings, mirror, board, self.book, leadership, self._renting, clock, self._failed_on
         )
+        self._preempting = Preempting(
+            settings, self.book, board, self._offers, self._renting, clock
+        )
         self._moving = Moving(self.book, board, self._offers, clock)
         self.cloud: CloudCaller | None = None
         self._leading = False
@@ -708,41 +703,12 @@
         """Stop less urgent attempts for tasks that found no room."""
         if not self._leadership.may_start():
             return
-        usage = usage_by_team(self._board.jobs.values())
-        stuck = [
-            (w.job, w.count)
-            for w in self._renting.waiting()
-            if w.job.rank == 0
-            or (w.job.rank < 3 and within(self._teams[w.job.spec.team],
-                usage.get(w.job.spec.team) or Usage(), w.job, limit=False))
-        ]  # fmt: skip
-        if not stuck:
-            return
-        wall_us = self._clock.wall_us()
-        rooms: list[Room] = []
-        running: dict[str, list[Victim]] = {}
-        for shared in self._offers.rooms():
-            room = replace(shared)
-            rooms.append(room)
-            for key, attempt in self._board.attempts_on(room.machine).items():
-                job = self._board.jobs.get(key[0])
-                if job is None:
-                    continue
-                if key in self._stops or not job.open:
-                    room.take(job, -1)
-                elif job.rank > 0:
-                    victim = Victim(job, attempt, shielded=shielded(job, wall_us))
-                    running.setdefault(room.machine, []).append(victim)
-        victims = choose_victims(
-            stuck, rooms, running, self._teams, usage, self.book.zone_of(), _MOST_VICTIMS
-        )
         now_us = self._clock.now_us()
-        for victim in victims:
+        for victim in self._preempting.victims(self._stops):
             spec, attempt = victim.job.spec, victim.attempt
             grace_s = spec.save_s if worth_saving(spec) else 0.0
-            self._offers.claim(
-                attempt.machine, now_us + _CLAIM_US + to_us(grace_s), victim.wanted_by
-            )
+            claim_us = now_us + _CLAIM_US + to_us(grace_s)
+            self._offers.claim(attempt.machine, claim_us, victim.wanted_by)
             log.info("stopping %s/%d attempt %d on %s for more urgent work",
                      spec.id, attempt.task, attempt.number, attempt.machine)  # fmt: skip
             self._stop(victim.job, attempt, grace_s)
--- a/mosswalk/peers/__init__.py
+++ b/mosswalk/peers/__init__.py
@@ -17,8 +17,6 @@
 log = logging.getLogger(__name__)
 
 T = TypeVar("T")
-_YES = msgspec.msgpack.encode(True)
-_NO = msgspec.msgpack.encode(False)
 
 
 class PeerError(Exception):
@@ -48,27 +46,27 @@
             raise PeerError(f"status {response.status}")
         return body
 
-    async def offer(self, node: str, message: Offer) -> OfferAnswer:
-        """Offer room to the owner of some teams."""
-        body = await self._post(node, "/offer", message, 5.0)
+    async def _ask(
+        self, node: str, path: str, message: object, timeout_s: float, kind: type[T]
+    ) -> T:
+        body = await self._post(node, path, message, timeout_s)
         try:
-            return msgspec.msgpack.decode(body, type=OfferAnswer)
+            return msgspec.msgpack.decode(body, type=kind)
         except msgspec.DecodeError as error:
             log.error("controller %s: malformed answer dropped: %s", node, error)
             raise PeerError("malformed answer") from None
 
+    async def offer(self, node: str, message: Offer) -> OfferAnswer:
+        """Offer room to the owner of some teams."""
+        return await self._ask(node, "/offer", message, 5.0, OfferAnswer)
+
     async def fresh(self, node: str) -> bool:
         """Whether the state service serves another controller."""
-        return await self._post(node, "/fresh", None, 1.0) == _YES
+        return await self._ask(node, "/fresh", None, 1.0, bool)
 
     async def poll(self, node: str, job_id: str) -> PollAnswer:
         """Have another controller ask the state service about a job."""
-        body = await self._post(node, "/poll", job_id, 1.2)
-        try:
-            return msgspec.msgpack.decode(body, type=PollAnswer)
-        except msgspec.DecodeError as error:
-            log.error("controller %s: malformed answer dropped: %s", node, error)
-            raise PeerError("malformed answer") from None
+        return await self._ask(node, "/poll", job_id, 1.2, PollAnswer)
 
     async def outcomes(self, node: str, message: Outcomes) -> None:
         """Tell the owner what became of attempts."""
@@ -105,7 +103,7 @@
         return web.Response()
 
     async def fresh(_request: web.Request) -> web.Response:
-        return web.Response(body=_YES if is_fresh() else _NO)
+        return web.Response(body=msgspec.msgpack.encode(is_fresh()))
 
     async def poll(request: web.Request) -> web.Response:
         return web.Response(body=msgspec.msgpack.encode(await on_poll(await decoded(request, str))))
