Count the room of a reported exit once when choosing whom to stop

Found by reading: since room is free at the reported exit, an attempt that was stopped and has exited freed it twice until its record showed it, so too little was stopped for urgent work; and completed tasks could be victims.

--- a/mosswalk/fleet/preempting.py
+++ b/mosswalk/fleet/preempting.py
@@ -50,8 +50,10 @@
         for shared in self._offers.rooms():
             room = replace(shared)
             rooms.append(room)
-            for key, attempt in self._board.attempts_on(room.machine).items():
-                job = self._board.jobs.get(key[0])
+            attempts = self._board.attempts_on(room.machine)
+            # Room of reported exits is free already: counted again, too little would be stopped.
+            for key in self._offers.taking(self._book.machines[room.machine]):
+                job, attempt = self._board.jobs.get(key[0]), attempts[key]
                 if job is None:
                     continue
                 if key in stopping or not job.open:
--- a/tests/test_offers.py
+++ b/tests/test_offers.py
@@ -7,11 +7,14 @@
 from msgspec import Raw, structs
 
 from mosswalk.config import Team, load
+from mosswalk.factory.loop import WaitingTasks
 from mosswalk.fleet.book import Book, Machine
 from mosswalk.fleet.offers import Offers
+from mosswalk.fleet.preempting import Preempting
 from mosswalk.jobs.board import Board
 from mosswalk.jobs.state import Draft, new_record
 from mosswalk.placement.owner import Owner
+from mosswalk.placement.rooms import ZoneRule
 from mosswalk.store import records
 from mosswalk.store.records import TermRecord
 from mosswalk.store.writer import Change
@@ -20,6 +23,7 @@
 from tests.standins import FakeClock, shape, spec
 from tests.test_config import write
 from tests.test_jobs import MirrorOf
+from tests.test_placement import job as placed
 
 S = 1_000_000
 
@@ -134,3 +138,19 @@
     record = structs.replace(board.jobs["j-000001"].record, done_count=3)
     board.jobs["j-000001"].record = record
     assert drafted((2, "done")) == 1
+
+
+def test_an_exit_that_is_reported_is_no_victim_and_frees_its_room_once(tmp_path):
+    offers, mirror, board, book, clock, settings = made(tmp_path, 1)
+    submit(mirror, tasks=4, cpus=1.0, priority="idle")
+    place(mirror, board, 4, "vm-0000")
+    waits = WaitingTasks(placed("j-000009", tasks=3, priority="prod"), 3, ZoneRule(False, 3))
+    renting = SimpleNamespace(waiting=lambda: [waits], cordoned=set())
+    preempting = Preempting(settings, book, board, offers, renting, clock)
+    book.machines["vm-0000"].tasks = {
+        (f"j-000001/{i}", i + 1): TaskReport(f"j-000001/{i}", i + 1, "exited", "stopped")
+        for i in range(2)
+    }
+    # Two are being stopped and their exits are reported: room for two, one more to stop.
+    stopping = {("j-000001", 0, 1), ("j-000001", 1, 2)}
+    assert [v.attempt.task for v in preempting.victims(stopping)] == [3]
