--- a/mosswalk/factory/consolidate.py
+++ b/mosswalk/factory/consolidate.py
@@ -44,7 +44,9 @@
     for room in rooms:
         if not room.holds(job) or not room.allows(job) or not rule.allows(room.zone):
             continue
-        if room.fetch_s(job) <= _MOST_FETCH_S:
+        if job.spec.image in room.images:
+            return room
+        if job.spec.image_gb * room.fetch_s_per_gb <= _MOST_FETCH_S:
             return room
     return None
 
--- a/mosswalk/fleet/offers.py
+++ b/mosswalk/fleet/offers.py
@@ -286,7 +286,7 @@
                 job.gpus + (before.gpus if before else 0),
                 job.memory + (before.memory if before else 0),
                 tuple(room.images), room.core_price,
-                room.fetch_s_per_gb, tuple(room.coming), room.coming_gb,
+                room.fetch_s_per_gb,
             )  # fmt: skip
         self._renting.note_stuck(queues)
         self._keep_room(queues, rooms)
--- a/mosswalk/placement/rooms.py
+++ b/mosswalk/placement/rooms.py
@@ -23,9 +23,6 @@
     memory: int
     # At hand or on their way: tasks that need the same image share one fetch.
     images: frozenset[str] = frozenset()
-    # Of these, the ones on their way, and how much there is to fetch: fetches share the rate.
-    coming: frozenset[str] = frozenset()
-    coming_gb: float = 0.0
     # The price of a core for an hour, and how long a gigabyte of image takes to fetch.
     core_price: float = 0.0
     fetch_s_per_gb: float = 0.0
@@ -40,14 +37,6 @@
         """Whether one task of the job fits by amounts."""
         return self.cpus >= job.cpus and self.gpus >= job.gpus and self.memory >= job.memory
 
-    def fetch_s(self, job: Job) -> float:
-        """How long a task of the job would wait for its image, roughly."""
-        spec = job.spec
-        if spec.image not in self.images:
-            return (self.coming_gb + spec.image_gb) * self.fetch_s_per_gb
-        # One on its way is on average half there.
-        return self.coming_gb / 2 * self.fetch_s_per_gb if spec.image in self.coming else 0.0
-
     def most(self, job: Job) -> int:
         """How many tasks of the job fit by amounts."""
         pairs = ((self.cpus, job.cpus), (self.gpus, job.gpus), (self.memory, job.memory))
@@ -63,10 +52,7 @@
         self.gpus -= job.gpus * count
         self.memory -= job.memory * count
         if count > 0:
-            if job.spec.image not in self.images:
-                self.images |= {job.spec.image}
-                self.coming |= {job.spec.image}
-                self.coming_gb += job.spec.image_gb
+            self.images |= {job.spec.image}
             if job.spec.kind == "daemon":
                 self.replica_cpus += job.cpus * count
 
@@ -85,7 +71,7 @@
     return Room(
         offer.machine, offer.type, offer.zone, offer.spot, offer.tenure,
         offer.cpus, offer.gpus, offer.memory, frozenset(offer.images),
-        frozenset(offer.coming), offer.coming_gb, offer.core_price, offer.fetch_s_per_gb,
+        offer.core_price, offer.fetch_s_per_gb,
     )  # fmt: skip
 
 
@@ -137,7 +123,7 @@
 def _money(job: Job, room: Room) -> float:
     """What a task's stay on the machine costs, its image's fetch included."""
     spec = job.spec
-    fetch_s = room.fetch_s(job)
+    fetch_s = 0.0 if spec.image in room.images else spec.image_gb * room.fetch_s_per_gb
     return room.core_price * (fetch_s + max(_LEAST_RUN_S, spec.estimate_s))
 
 
@@ -168,7 +154,7 @@
             # Else the stopped task itself would be put back at once, and stopped again. Replicas
             # wait for nobody.
             continue
-        fetch_s = room.fetch_s(job)
+        fetch_s = 0.0 if spec.image in room.images else spec.image_gb * room.fetch_s_per_gb
         if spec.kind == "daemon":
             first = round(fetch_s / _REPLICA_STEP_S)
             second = (0.0 if room.replica_cpus else 1.0) + round(room.core_price, 3)
--- a/mosswalk/wire/peers.py
+++ b/mosswalk/wire/peers.py
@@ -23,9 +23,6 @@
     images: tuple[str, ...] = ()
     core_price: float = 0.0
     fetch_s_per_gb: float = 0.0
-    # Images on their way, and how much there is to fetch.
-    coming: tuple[str, ...] = ()
-    coming_gb: float = 0.0
 
 
 class TeamOffer(Struct, frozen=True, array_like=True):
