--- a/mosswalk/fleet/steward.py
+++ b/mosswalk/fleet/steward.py
@@ -38,7 +38,7 @@
 from mosswalk.fleet.preempting import Preempting
 from mosswalk.fleet.pushes import Pushes
 from mosswalk.fleet.renting import Renting
-from mosswalk.fleet.suspicion import Patience, to_release
+from mosswalk.fleet.suspicion import Patience, taken, to_release
 from mosswalk.jobs.board import AttemptKey, Board
 from mosswalk.jobs.state import Job, split_task_name, task_name
 from mosswalk.leadership.actor import Leadership
@@ -566,6 +566,12 @@
             for m in self.book.machines.values()
             if m.phase == "up" and not m.releasing
         }
+        for name in list(silences):
+            machine = self.book.machines[name]
+            if taken(silences[name], machine.notice_until_us, now_us, self._patience):
+                self._release(machine, "its notice is over")
+                # Its silence says nothing of a cut.
+                del silences[name]
         for name in to_release(silences, self._patience):
             machine = self.book.machines[name]
             what = "silent" if machine.deaf_since_us is None else "does not hear"
--- a/mosswalk/fleet/suspicion.py
+++ b/mosswalk/fleet/suspicion.py
@@ -32,3 +32,13 @@
     many = quiet >= 3 and quiet * 3 > len(silences)
     limit_us = patience.lease_us + patience.silent_us if many else patience.silent_us
     return sorted(name for name, silence_us in silences.items() if silence_us > limit_us)
+
+
+def taken(silence_us: int, notice_until_us: int | None, now_us: int, patience: Patience) -> bool:
+    """Whether the cloud has taken a machine back, as it gave notice of.
+
+    Its time is known, so one missed report after it is enough: in a wave, waiting for each one's
+    full silence keeps all that was lost from starting elsewhere.
+    """
+    over = notice_until_us is not None and now_us > notice_until_us
+    return over and silence_us > patience.quiet_us // 2
--- a/tests/test_suspicion.py
+++ b/tests/test_suspicion.py
@@ -1,7 +1,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from mosswalk.fleet.suspicion import Patience, to_release
+from mosswalk.fleet.suspicion import Patience, taken, to_release
 
 S = 1_000_000
 PATIENCE = Patience(quiet_us=4 * S, silent_us=7 * S, lease_us=16 * S)
@@ -30,3 +30,9 @@
     gone = to_release(silences, PATIENCE)
     assert all(silences[name] > 7 * S for name in gone)
     assert all(name in gone for name, s in silences.items() if s > 23 * S)
+
+
+def test_a_machine_whose_notice_is_over_need_miss_one_report_only():
+    assert taken(3 * S, 10 * S, 11 * S, PATIENCE)
+    assert not taken(3 * S, 12 * S, 11 * S, PATIENCE) and not taken(1 * S, 10 * S, 11 * S, PATIENCE)
+    assert not taken(6 * S, None, 11 * S, PATIENCE)
