Adopt no machine from a report that may be a late copy

Found by reading: a report from before the leader's time put a machine long gone into the book as booting, where it stood for a rent for up to four boot times. One that is there reports again under our epoch within half a second; what the list shows is adopted from it.

--- a/mosswalk/fleet/steward.py
+++ b/mosswalk/fleet/steward.py
@@ -275,6 +275,10 @@
             return []
         machine = self.book.machines.get(report.machine)
         if machine is None:
+            if report.epoch < self._first_epoch:
+                # Perhaps a late copy from a machine long gone. If it is there, it hears our
+                # epoch with this answer and reports again within half a second.
+                return []
             log.info("machine %s (%s, %s) reports unexpected", report.machine, report.type,
                      report.zone)  # fmt: skip
             machine = self._adopt(report.machine, report.type, report.zone, report.spot, "booting")
--- a/tests/test_cluster.py
+++ b/tests/test_cluster.py
@@ -287,7 +287,7 @@
                 await users.call("POST", "/v1/report", late, node=leader)
             await asyncio.sleep(0.05)
         book = world.controllers[leader][0].steward.book
-        assert "vm-ghost" not in book.machines or book.machines["vm-ghost"].phase != "up"
+        assert "vm-ghost" not in book.machines
         await users.submit(spec("j-000091", tasks=12))
         await users.done("j-000090")
         await users.done("j-000091", 25.0)
