Write once: an image's fetch, a machine's load, the next term, a room's attempts

Room.fetch_s serves placing and moving; Machine.load serves renting and moving; whether a term is due is whether the next one would differ; a room is built in one walk over its machine's attempts instead of two; the writer's share changes with the term, not each round; fields nobody read are gone. One figure is mended: store_backlog counts both lanes of writes, as it did when there was one.

--- a/mosswalk/factory/consolidate.py
+++ b/mosswalk/factory/consolidate.py
@@ -37,16 +37,13 @@
 def _fits_elsewhere(
     job: Job, attempt: Attempt, rooms: Iterable[Room], zone_of: Mapping[str, str]
 ) -> Room | None:
-    others = {m: z for m, z in zone_of.items() if m != attempt.machine}
-    rule = zone_rule(job, {**others, attempt.machine: ""})
+    rule = zone_rule(job, {**zone_of, attempt.machine: ""})
     if rule is None:
         return None
     for room in rooms:
         if not room.holds(job) or not room.allows(job) or not rule.allows(room.zone):
             continue
-        if job.spec.image in room.images:
-            return room
-        if job.spec.image_gb * room.fetch_s_per_gb <= _MOST_FETCH_S:
+        if room.fetch_s(job) <= _MOST_FETCH_S:
             return room
     return None
 
--- a/mosswalk/fleet/book.py
+++ b/mosswalk/fleet/book.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, field
 from typing import Literal
 
+from mosswalk.jobs.state import milli
 from mosswalk.wire.cloud import MachineType
 from mosswalk.wire.workers import Order, Report, TaskReport
 
@@ -59,6 +60,13 @@
     # Starts sent to /orders whose answer never came, with the epoch and tenure they carried.
     unanswered: dict[TaskKey, tuple[int, int]] = field(default_factory=dict)
 
+    def load(self, shape: MachineType) -> float:
+        """The used part of its scarcer amount."""
+        return max(
+            self.used_cpus / max(1, milli(shape.cpus)),
+            self.used_memory / max(1, milli(shape.memory_gb)),
+        )
+
     def newer(self, report: Report) -> bool:
         """Whether a report is newer than all seen before."""
         return (report.tenure, report.tick) > (self.tenure, self.tick)
--- a/mosswalk/fleet/moving.py
+++ b/mosswalk/fleet/moving.py
@@ -9,7 +9,7 @@
 from mosswalk.fleet.book import Book, Machine
 from mosswalk.fleet.offers import Offers
 from mosswalk.jobs.board import AttemptKey, Board
-from mosswalk.jobs.state import Job, milli_room
+from mosswalk.jobs.state import Job
 from mosswalk.store.records import Attempt
 
 log = logging.getLogger(__name__)
@@ -54,12 +54,8 @@
             replicas.append((job, attempt))
             since_us = self._seen_us[key] = before.get(key, now_us)
             settled = settled and now_us - since_us >= _SETTLED_US
-        load = max(
-            machine.used_cpus / max(1, milli_room(shape.cpus)),
-            machine.used_memory / max(1, milli_room(shape.memory_gb)),
-        )
         price = shape.spot_price if machine.spot else shape.price
-        return Host(room, load, price, replicas, settled)
+        return Host(room, machine.load(shape), price, replicas, settled)
 
     def turn(self) -> list[tuple[Job, Attempt]]:
         """The replicas to stop now."""
--- a/mosswalk/fleet/offers.py
+++ b/mosswalk/fleet/offers.py
@@ -98,7 +98,7 @@
             del self._claims[name]
             self.touch(name)
         self._changed |= self._cordoned ^ self._renting.cordoned
-        self._cordoned = set(self._renting.cordoned)
+        self._cordoned = self._renting.cordoned
         for name, machine in self._book.machines.items():
             room = self._rooms.get(name)
             if name not in self._rooms or (
@@ -156,16 +156,11 @@
             if reported is None or reported.phase != "exited":
                 yield key
 
-    def _note_use(self, machine: Machine) -> None:
-        machine.used_cpus = machine.used_memory = 0
-        machine.has_replica = False
+    def _note_use(self, machine: Machine, running: list[Job]) -> None:
+        machine.used_cpus = sum(job.cpus for job in running)
+        machine.used_memory = sum(job.memory for job in running)
+        machine.has_replica = any(job.spec.kind == "daemon" for job in running)
         attempts = self._board.attempts_on(machine.name)
-        for key in self.taking(machine):
-            job = self._board.jobs.get(key[0])
-            if job is not None:
-                machine.used_cpus += job.cpus
-                machine.used_memory += job.memory
-                machine.has_replica |= job.spec.kind == "daemon"
         idle = not attempts and not any(t.phase != "exited" for t in machine.tasks.values())
         if machine.phase != "up" or not idle:
             machine.idle_since_us = None
@@ -173,7 +168,9 @@
             machine.idle_since_us = self._clock.now_us()
 
     def _build(self, machine: Machine) -> Room | None:
-        self._note_use(machine)
+        jobs = self._board.jobs
+        running = [jobs[key[0]] for key in self.taking(machine) if key[0] in jobs]
+        self._note_use(machine, running)
         shape = self._book.types.get(machine.type)
         if (
             shape is None
@@ -203,10 +200,8 @@
             cordoned=machine.name in self._renting.cordoned,
             claimed_by=self._claimants(machine.name),
         )
-        for key in self.taking(machine):
-            job = self._board.jobs.get(key[0])
-            if job is not None:
-                room.take(job)
+        for job in running:
+            room.take(job)
         for slot in self._reserved.get(machine.name, ()):
             room.cpus -= slot.cpus
             room.gpus -= slot.gpus
--- a/mosswalk/fleet/renting.py
+++ b/mosswalk/fleet/renting.py
@@ -21,7 +21,7 @@
 )
 from mosswalk.fleet.book import Book, Machine
 from mosswalk.jobs.board import Board
-from mosswalk.jobs.state import Job, milli, milli_room
+from mosswalk.jobs.state import Job, milli_room
 from mosswalk.placement.queues import TeamQueue, Usage, most_within, usage_by_team, within
 from mosswalk.placement.rooms import Room, zone_rule
 
@@ -108,12 +108,7 @@
             if machine.releasing or machine.rumoured:
                 continue
             shape = self._book.types.get(machine.type)
-            load = 0.0
-            if shape is not None:
-                load = max(
-                    machine.used_cpus / max(1, milli(shape.cpus)),
-                    machine.used_memory / max(1, milli(shape.memory_gb)),
-                )
+            load = machine.load(shape) if shape is not None else 0.0
             machines.append(
                 MachineView(
                     machine.name, (machine.type, machine.zone, machine.spot), machine.phase,
--- a/mosswalk/fleet/steward.py
+++ b/mosswalk/fleet/steward.py
@@ -117,14 +117,14 @@
         self._leadership = leadership
         self._owner = owner
         self._peers = peers
-        self._session = session
         self._clock = clock
         workers = settings.params.workers
-        self._silent_us = to_us(settings.tuning.fleet.silent_reports * workers.report_s)
+        self._lease_us = to_us(workers.lease_s)
         self._patience = Patience(
-            to_us(2.2 * workers.report_s), self._silent_us, to_us(workers.lease_s)
+            to_us(2.2 * workers.report_s),
+            to_us(settings.tuning.fleet.silent_reports * workers.report_s),
+            self._lease_us,
         )
-        self._lease_us = to_us(workers.lease_s)
         self._errors_to_distrust = settings.tuning.fleet.errors_to_distrust
         self._boot_patience = settings.tuning.fleet.boot_patience
         self._period_us = to_us(settings.tuning.factory.period_s)
--- a/mosswalk/leadership/terms.py
+++ b/mosswalk/leadership/terms.py
@@ -61,7 +61,5 @@
     A controller that was restarted counts as changed: a commit its last run sent may still
     arrive, and only a new term makes sure that it fails.
     """
-    if dict(current.runs) != dict(runs):
-        return True
-    reached = [node for node in runs if node not in unreachable]
-    return assign_teams(current.owners, current.leader, reached, current.owners) != current.owners
+    wanted = next_term(current, current.leader, runs, current.owners, unreachable=unreachable)
+    return wanted.runs != current.runs or wanted.owners != current.owners
--- a/mosswalk/metrics.py
+++ b/mosswalk/metrics.py
@@ -41,7 +41,11 @@
             "Machines requested or booting",
             float(sum(1 for m in machines if m.phase != "up" and not m.releasing)),
         )
-        yield "store_backlog", "Changes waiting for the write budget", float(c.writer.backlog())
+        yield (
+            "store_backlog",
+            "Changes waiting for the write budget",
+            float(c.writer.backlog() + c.users_writer.backlog()),
+        )
 
     def render(self) -> bytes:
         """The text an operator's collector reads."""
--- a/mosswalk/placement/rooms.py
+++ b/mosswalk/placement/rooms.py
@@ -37,6 +37,11 @@
         """Whether one task of the job fits by amounts."""
         return self.cpus >= job.cpus and self.gpus >= job.gpus and self.memory >= job.memory
 
+    def fetch_s(self, job: Job) -> float:
+        """How long a task of the job would wait for its image."""
+        spec = job.spec
+        return 0.0 if spec.image in self.images else spec.image_gb * self.fetch_s_per_gb
+
     def most(self, job: Job) -> int:
         """How many tasks of the job fit by amounts."""
         pairs = ((self.cpus, job.cpus), (self.gpus, job.gpus), (self.memory, job.memory))
@@ -120,11 +125,9 @@
 _LEAST_RUN_S = 10.0
 
 
-def _money(job: Job, room: Room) -> float:
+def _money(job: Job, room: Room, fetch_s: float) -> float:
     """What a task's stay on the machine costs, its image's fetch included."""
-    spec = job.spec
-    fetch_s = 0.0 if spec.image in room.images else spec.image_gb * room.fetch_s_per_gb
-    return room.core_price * (fetch_s + max(_LEAST_RUN_S, spec.estimate_s))
+    return room.core_price * (fetch_s + max(_LEAST_RUN_S, job.spec.estimate_s))
 
 
 # Fetches that differ by less than this are alike: to a replica, whose users wait, and to others.
@@ -154,12 +157,12 @@
             # Else the stopped task itself would be put back at once, and stopped again. Replicas
             # wait for nobody.
             continue
-        fetch_s = 0.0 if spec.image in room.images else spec.image_gb * room.fetch_s_per_gb
+        fetch_s = room.fetch_s(job)
         if spec.kind == "daemon":
             first = round(fetch_s / _REPLICA_STEP_S)
             second = (0.0 if room.replica_cpus else 1.0) + round(room.core_price, 3)
         else:
-            first, second = round(fetch_s / _FETCH_STEP_S), round(_money(job, room), 2)
+            first, second = round(fetch_s / _FETCH_STEP_S), round(_money(job, room, fetch_s), 2)
         key = (
             room.cordoned,
             first,
--- a/mosswalk/store/writer.py
+++ b/mosswalk/store/writer.py
@@ -69,7 +69,9 @@
         self._rng = rng
         self._ops = txn_ops
         self._write_rps = write_rps
-        self._bucket = TokenBucket(write_rps, max(1.0, write_rps * 0.8), clock.now_us())
+        self._part = 1.0
+        self._burst = max(1.0, write_rps * 0.8)
+        self._bucket = TokenBucket(write_rps, self._burst, clock.now_us())
         self._queue: deque[_Waiting] = deque()
         self._wake = asyncio.Event()
         self._broken: BaseException | None = None
@@ -85,12 +87,13 @@
 
     def share(self, part: float) -> None:
         """Use this part of the writes: the service counts all controllers' together."""
-        self._bucket.change_rate(self._write_rps * part, self._clock.now_us())
+        if part != self._part:
+            self._part = part
+            self._bucket.change_rate(self._write_rps * part, self._clock.now_us())
 
     def ample(self) -> bool:
         """Whether a write now would keep nobody waiting."""
-        burst = max(1.0, self._write_rps * 0.8)
-        return not self._queue and self._bucket.available(self._clock.now_us()) > burst / 2
+        return not self._queue and self._bucket.available(self._clock.now_us()) > self._burst / 2
 
     def backlog(self) -> int:
         """How many changes wait for their turn."""
