Let a leader hand over when the workers can't reach it but others

Its lease held, so it went on leading; every worker tried the others, was sent back to it, and after 16 s every lease in the fleet had run out.

The leader asks the others each second anyway. They now tell how many machines turned to them, and a leader that hears fewer than one in ten while at least as many turn to others frees its key and does not stand for 5 s.

--- a/mosswalk/fleet/steward.py
+++ b/mosswalk/fleet/steward.py
@@ -39,6 +39,7 @@
 from mosswalk.fleet.pushes import Pushes
 from mosswalk.fleet.renting import Renting
 from mosswalk.fleet.suspicion import Patience, taken, to_release
+from mosswalk.fleet.visitors import Visitors, cut_from_workers
 from mosswalk.jobs.board import AttemptKey, Board
 from mosswalk.jobs.state import Job, split_task_name, task_name
 from mosswalk.leadership.actor import Leadership
@@ -163,6 +164,10 @@
             self.tell, self.spawn, clock,
         )  # fmt: skip
         self._late_starts: dict[AttemptKey, int] = {}
+        # Long enough that the leader, who asks each second or two, misses none of them.
+        self.visitors = Visitors(2 * SECOND_US + to_us(workers.report_s), clock)
+        # Within this time a machine that is well reports, give or take what reports vary by.
+        self._report_us = to_us(1.3 * workers.report_s)
         board.on_attempt.append(self._attempt_appeared)
         mirror.after_batch(self._poke)
         leadership.on_term.append(lambda: self.tell(TermBegan()))
@@ -263,12 +268,22 @@
         self._check_lead()
         self._leadership.outbid(report.epoch)
         if not self._leading or not self._leadership.may_answer():
+            self.visitors.came(report.machine)
             message.answer.set_result(self._refusal())
             return
         orders = self._take_report(report, in_answer=True)
         body = msgspec.json.encode(ReportAnswer(self._leadership.epoch(), tuple(orders)))
         message.answer.set_result((200, body))
 
+    def cut_from_workers(self, elsewhere: int) -> bool:
+        """Whether the workers can't reach this leader, but turn to others."""
+        now_us = self._clock.now_us()
+        if not self._leading or now_us - self._since_us < _TAKEOVER_US:
+            return False
+        up = [m for m in self.book.machines.values() if m.phase == "up" and not m.releasing]
+        heard = sum(1 for m in up if now_us - m.seen_us < self._report_us)
+        return cut_from_workers(len(up), heard, elsewhere)
+
     def _take_report(self, report: Report, *, in_answer: bool) -> list[Order]:
         now_us = self._clock.now_us()
         if self.book.gone(report.machine):
--- a/mosswalk/leadership/actor.py
+++ b/mosswalk/leadership/actor.py
@@ -30,6 +30,8 @@
 # A controller that joins gets teams only once it has stayed this long: one that keeps
 # crashing must not cause a term each time.
 _SETTLE_US = 2_000_000
+# One that has handed over does not stand for this long, so that another one does.
+_YIELD_US = 5_000_000
 
 
 class Leadership:
@@ -64,6 +66,8 @@
         self._runs_since_us = 0
         self._outbid = 0
         self._wanted_above = 0
+        self._hands_over = False
+        self._yields_until_us = 0
         self._unreachable: frozenset[str] = frozenset()
         self._wake = asyncio.Event()
         self.on_term: list[Callable[[], None]] = []
@@ -135,6 +139,13 @@
         self._wanted_above = max(self._wanted_above, self.epoch())
         self._wake.set()
 
+    def hand_over(self) -> None:
+        """Let another controller lead, as this one can't do its work."""
+        if self.leads() and not self._hands_over:
+            log.info("handing over: the workers can't reach us, but others")
+            self._hands_over = True
+            self._wake.set()
+
     # What the mirror tells.
 
     def _term_changed(self, _key: str, value: bytes | None, version: int) -> None:
@@ -245,7 +256,11 @@
     async def _consider(self) -> None:
         now_us = self._clock.now_us()
         mine = self._lead is not None and self._lead.node == self.node
-        if self._lead is None:
+        if self._hands_over:
+            await self._give_up_lead()
+        elif self._lead is None and now_us < self._yields_until_us:
+            return
+        elif self._lead is None:
             # Those who notice together should not all write at once.
             await asyncio.sleep(self._rng.uniform(0.0, 0.08))
             if self._lead is None:
@@ -265,6 +280,19 @@
             ):
                 await self._stand("controllers changed")
 
+    async def _give_up_lead(self) -> None:
+        """Free the leader's key; who takes it makes a new term, which outdates this one."""
+        self._hands_over = False
+        if not self.leads():
+            return
+        self._yields_until_us = self._clock.now_us() + _YIELD_US
+        await self._client.commit(
+            wire.Transaction(
+                (wire.Guard(records.LEADER_KEY, self._lead_version),),
+                (wire.Write(delete=records.LEADER_KEY),),
+            )
+        )
+
     def _up(self) -> dict[str, str]:
         return {**self.runs, self.node: self.run_id}
 
--- a/mosswalk/peers/__init__.py
+++ b/mosswalk/peers/__init__.py
@@ -12,7 +12,7 @@
 from aiohttp import web
 
 from mosswalk.config import Settings
-from mosswalk.wire.peers import Offer, OfferAnswer, Outcomes, PollAnswer
+from mosswalk.wire.peers import Offer, OfferAnswer, Outcomes, PollAnswer, Sight
 
 log = logging.getLogger(__name__)
 
@@ -60,9 +60,9 @@
         """Offer room to the owner of some teams."""
         return await self._ask(node, "/offer", message, 5.0, OfferAnswer)
 
-    async def fresh(self, node: str) -> bool:
-        """Whether the state service serves another controller."""
-        return await self._ask(node, "/fresh", None, 1.0, bool)
+    async def sight(self, node: str) -> Sight:
+        """What another controller sees of the state service and of the workers."""
+        return await self._ask(node, "/sight", None, 1.0, Sight)
 
     async def poll(self, node: str, job_id: str) -> PollAnswer:
         """Have another controller ask the state service about a job."""
@@ -76,7 +76,7 @@
 def peer_app(
     on_offer: Callable[[Offer], Awaitable[OfferAnswer]],
     on_outcomes: Callable[[Outcomes], None],
-    is_fresh: Callable[[], bool],
+    sees: Callable[[], Sight],
     on_poll: Callable[[str], Awaitable[PollAnswer]],
 ) -> web.Application:
     """The port that other controllers speak to."""
@@ -102,8 +102,8 @@
         on_outcomes(await decoded(request, Outcomes))
         return web.Response()
 
-    async def fresh(_request: web.Request) -> web.Response:
-        return web.Response(body=msgspec.msgpack.encode(is_fresh()))
+    async def sight(_request: web.Request) -> web.Response:
+        return web.Response(body=msgspec.msgpack.encode(sees()))
 
     async def poll(request: web.Request) -> web.Response:
         return web.Response(body=msgspec.msgpack.encode(await on_poll(await decoded(request, str))))
@@ -111,6 +111,6 @@
     app = web.Application(client_max_size=4 * 1024 * 1024)
     app.router.add_post("/offer", offer)
     app.router.add_post("/outcomes", outcomes)
-    app.router.add_post("/fresh", fresh)
+    app.router.add_post("/sight", sight)
     app.router.add_post("/poll", poll)
     return app
--- a/mosswalk/peers/health.py
+++ b/mosswalk/peers/health.py
@@ -3,7 +3,8 @@
 A controller can't tell an outage of the state service from being refused alone. In an outage all
 should stay in the balancer's list and say so at once; one that is refused alone should leave it,
 since its users would be told 503 while others are served. So it asks the others. A leader asks
-them too, to know which of them it can't reach.
+them too, to know which of them it can't reach, and whether workers turn to them that should come
+to it.
 """
 
 from __future__ import annotations
@@ -14,6 +15,7 @@
 from typing import Protocol
 
 from mosswalk.actors import Clock
+from mosswalk.wire.peers import Sight
 
 log = logging.getLogger(__name__)
 
@@ -23,20 +25,21 @@
 _ASK_S = 1.0
 
 
-class FreshLink(Protocol):
+class SightLink(Protocol):
     """How others are asked."""
 
-    async def fresh(self, node: str) -> bool:
-        """Whether the state service serves another controller."""
+    async def sight(self, node: str) -> Sight:
+        """What another controller sees of the state service and of the workers."""
 
 
 class Health:
     """Watches this controller's sight of the state service, and asks others when it is lost."""
 
     def __init__(
-        self, others: Iterable[str], peers: FreshLink, confirmed_us: Callable[[], int],
+        self, others: Iterable[str], peers: SightLink, confirmed_us: Callable[[], int],
         clock: Clock, leads: Callable[[], bool] = lambda: False,
         on_unreachable: Callable[[frozenset[str]], None] = lambda _: None,
+        on_visitors: Callable[[int], None] = lambda _: None,
     ) -> None:  # fmt: skip
         self._others = tuple(others)
         self._peers = peers
@@ -44,6 +47,7 @@
         self._clock = clock
         self._leads = leads
         self._on_unreachable = on_unreachable
+        self._on_visitors = on_visitors
         # Tries in a row that failed, by controller.
         self._failed: dict[str, int] = dict.fromkeys(self._others, 0)
         self.alone = False
@@ -54,9 +58,9 @@
         """Whether the state service serves this controller."""
         return self._clock.now_us() - self._confirmed_us() < FRESH_US
 
-    async def _ask(self, node: str) -> bool | None:
+    async def _ask(self, node: str) -> Sight | None:
         try:
-            return await self._peers.fresh(node)
+            return await self._peers.sight(node)
         except Exception as error:
             log.debug("controller %s not asked: %s", node, error)
             return None
@@ -78,8 +82,12 @@
             self._failed[node] = self._failed[node] + 1 if answer is None else 0
         self._on_unreachable(frozenset(n for n, times in self._failed.items() if times >= 2))
         if fresh:
+            self._on_visitors(sum(sight.visitors for sight in answers if sight is not None))
             return
-        self.served = next((n for n, a in zip(self._others, answers, strict=True) if a), None)
+        self.served = next(
+            (n for n, a in zip(self._others, answers, strict=True) if a is not None and a.fresh),
+            None,
+        )
         # With nobody to ask either, this controller is cut off from all: others may serve.
         alone = self.served is not None or all(answer is None for answer in answers)
         if alone and not self.alone:
--- a/mosswalk/service.py
+++ b/mosswalk/service.py
@@ -27,7 +27,7 @@
 from mosswalk.store.client import StateClient
 from mosswalk.store.mirror import Mirror
 from mosswalk.store.writer import GroupWriter
-from mosswalk.wire.peers import PollAnswer
+from mosswalk.wire.peers import PollAnswer, Sight
 
 log = logging.getLogger(__name__)
 
@@ -72,7 +72,7 @@
         self.health = Health(
             [peer.host_name for peer in settings.known], self.peers,
             lambda: self.mirror.confirmed_us, clock, self.leadership.leads,
-            self.leadership.note_unreachable,
+            self.leadership.note_unreachable, self._visitors_elsewhere,
         )  # fmt: skip
         self.desk.elsewhere = self._poll_elsewhere
         # Followers need not hear of each change at once: with many controllers, their watches
@@ -84,6 +84,13 @@
         """Whether users' requests can be taken here."""
         return self.mirror.loaded and not self.health.alone
 
+    def _sees(self) -> Sight:
+        return Sight(self.health.fresh(), self.steward.visitors.count())
+
+    def _visitors_elsewhere(self, count: int) -> None:
+        if self.steward.cut_from_workers(count):
+            self.leadership.hand_over()
+
     async def _poll_elsewhere(self, job_id: str) -> PollAnswer | None:
         node = self.health.served
         if node is None:
@@ -98,7 +105,7 @@
         """The applications for users and workers, and for other controllers."""
         users = users_app(self.desk, self.steward.report, self.healthy, self.metrics.render)
         return users, peer_app(
-            self.owner.offer, self.owner.outcomes, self.health.fresh, self.desk.poll_for_other
+            self.owner.offer, self.owner.outcomes, self._sees, self.desk.poll_for_other
         )
 
     def work(self) -> list[Coroutine[Any, Any, None]]:
--- a/mosswalk/wire/peers.py
+++ b/mosswalk/wire/peers.py
@@ -65,6 +65,14 @@
     outcomes: tuple[Outcome, ...]
 
 
+class Sight(Struct, frozen=True):
+    """What another controller sees: whether the state service serves it, and who turns to it."""
+
+    fresh: bool
+    # Machines whose workers came to it of late although it does not lead.
+    visitors: int = 0
+
+
 class PollAnswer(Struct, frozen=True):
     """What the state service told another controller about a job, as a user is answered."""
 
--- a/tests/test_cluster.py
+++ b/tests/test_cluster.py
@@ -8,8 +8,9 @@
 import msgspec
 
 from mosswalk.config import Team
+from mosswalk.fleet import steward
 from tests.standins import spec
-from tests.world import World
+from tests.world import LEASE_S, World
 
 
 class Users:
@@ -244,6 +245,29 @@
     cluster(test)
 
 
+def test_a_leader_that_no_worker_reaches_hands_over_before_their_leases_end(monkeypatch):
+    monkeypatch.setattr(steward, "_TAKEOVER_US", 1_000_000)
+
+    async def test(world, users):
+        world.services.add("j-000075")
+        await users.submit(spec("j-000075", kind="daemon", tasks=4, cpus=4.0, spot=False))
+        await users.eventually("GET", "/healthz", lambda s, b: len(world.on) == 4)
+        await asyncio.sleep(1.0)
+        where, old = dict(world.on), world.leader()
+        world.cut_from_workers.add(old)
+        for _ in range(int(LEASE_S / 0.05)):
+            if world.leader() not in (old, None):
+                break
+            await asyncio.sleep(0.05)
+        assert world.leader() not in (old, None)
+        # The state service serves it all the while, but it does not take the lead back.
+        await asyncio.sleep(LEASE_S)
+        assert world.leader() not in (old, None)
+        assert world.on == where
+
+    cluster(test)
+
+
 def test_a_controller_refused_alone_says_so_and_its_users_still_get_answers():
     async def test(world, users):
         await users.submit(spec("j-000080"))
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -12,6 +12,7 @@
 from mosswalk.store import records
 from mosswalk.store.mirror import Mirror
 from mosswalk.wire import state as wire
+from mosswalk.wire.peers import Sight
 from tests.standins import FakeClient, FakeClock, Store
 from tests.test_config import write
 
@@ -20,11 +21,11 @@
     def __init__(self, answers):
         self.answers = answers
 
-    async def fresh(self, node):
+    async def sight(self, node):
         answer = self.answers[node]
         if answer is None:
             raise OSError("refused")
-        return answer
+        return Sight(answer)
 
 
 @pytest.mark.parametrize(
--- /dev/null
+++ b/tests/test_visitors.py
@@ -0,0 +1,37 @@
+from hypothesis import given
+from hypothesis import strategies as st
+
+from mosswalk.fleet.visitors import Visitors, cut_from_workers
+from tests.standins import FakeClock
+
+S = 1_000_000
+
+
+def test_a_leader_that_only_it_can_not_be_reached_by_the_workers_is_found_out():
+    assert cut_from_workers(up=600, heard=0, elsewhere=60)
+    assert not cut_from_workers(up=600, heard=0, elsewhere=59)
+    # They are dead or cut off themselves.
+    assert not cut_from_workers(up=600, heard=0, elsewhere=0)
+    # Part of them has another trouble.
+    assert not cut_from_workers(up=600, heard=60, elsewhere=540)
+    assert not cut_from_workers(up=2, heard=0, elsewhere=2)
+
+
+@given(st.integers(0, 900), st.integers(0, 900), st.integers(0, 900))
+def test_whoever_is_heard_better_than_the_others_goes_on(up, heard, elsewhere):
+    if heard >= elsewhere:
+        assert not cut_from_workers(up, heard, elsewhere)
+
+
+def test_a_machine_counts_once_and_for_a_while():
+    clock = FakeClock()
+    visitors = Visitors(4 * S, clock)
+    visitors.came("a")
+    clock.us += 3 * S
+    visitors.came("a")
+    visitors.came("b")
+    assert visitors.count() == 2
+    clock.us += 3 * S
+    assert visitors.count() == 2
+    clock.us += 2 * S
+    assert visitors.count() == 0
--- a/tests/world.py
+++ b/tests/world.py
@@ -190,7 +190,7 @@
             self.changed.set()
 
     async def orders(self, request):
-        if self.deaf:
+        if self.deaf or request.headers.get("From") in self.world.cut_from_workers:
             await asyncio.sleep(60)
         body = await request.json()
         if body["epoch"] < self.epoch or body["tenure"] != self.tenure:
@@ -224,6 +224,10 @@
             self.answered = time.monotonic()
         sent, names = time.monotonic(), list(self.world.addresses)
         name = names[self.target % len(names)]
+        if name in self.world.cut_from_workers:
+            await asyncio.sleep(0.8)
+            self.target += 1
+            return
         try:
             async with self.world.session.post(
                 f"http://{self.world.addresses[name]}/v1/report",
@@ -260,6 +264,8 @@
         self.withdrawn: set[str] = set()
         self.sick: set[str] = set()
         self.never_boots: set[int] = set()
+        # Controllers that no worker can reach nor be reached by.
+        self.cut_from_workers: set[str] = set()
         self.hires: dict[str, list[str]] = {}
         self.workers: dict[str, tuple[Worker, asyncio.Task]] = {}
         self.rented = 0
