Keep workers alive in a zone that is cut off; tell cuts by zone; budget sockets

So a controller that is not served and can reach neither the leader nor anybody who is served answers reports under the term it knows, for as long as a leader without the state service might, and orders nothing but the end of what it does not know to be open. The leader outside gives such a zone's machines until that time is over, and tells a cut from deaths zone by zone: a third of the fleet is more than a small zone has.

Connections for orders stay open only as far as the workers' part reaches. Orders have a connection pool of their own: hundreds that hang in a cut must not keep the lease from being renewed. Half-open ones go after 30 s instead of 120 s.

--- a/mosswalk/fleet/orders.py
+++ b/mosswalk/fleet/orders.py
@@ -7,7 +7,7 @@
 
 from mosswalk.fleet.book import Machine
 from mosswalk.jobs.board import AttemptKey
-from mosswalk.jobs.state import split_task_name, task_name
+from mosswalk.jobs.state import Job, split_task_name, task_name
 from mosswalk.store.records import Attempt
 from mosswalk.wire.peers import Fate, Outcome
 from mosswalk.wire.workers import Order, Report
@@ -31,6 +31,20 @@
     alive: int = 0
 
 
+def kills_of_closed(report: Report, jobs: Mapping[str, Job]) -> list[Order]:
+    """Orders to end all tasks of a report whose job is not known to be open.
+
+    All that may be ordered by one that does not lead: ending such a task is right whoever leads.
+    """
+    kills: list[Order] = []
+    for task in report.tasks:
+        split = split_task_name(task.task)
+        job = jobs.get(split[0]) if split is not None else None
+        if task.phase != "exited" and (job is None or not job.open):
+            kills.append(Order("kill", task.task, task.attempt, 0.0))
+    return kills
+
+
 def judge(
     machine: Machine,
     report: Report,
--- a/mosswalk/fleet/pushes.py
+++ b/mosswalk/fleet/pushes.py
@@ -23,6 +23,7 @@
 # Orders for one machine that are decided together go in one message.
 _PUSH_GAP_S = 0.004
 _PUSH_TIMEOUT_S = 3.0
+_CLOSE = {"Connection": "close"}
 
 
 @dataclass(slots=True)
@@ -40,7 +41,7 @@
     def __init__(
         self, book: Book, board: Board, leadership: Leadership, session: aiohttp.ClientSession,
         is_to_stop: Callable[[Machine, AttemptKey], bool], tell: Callable[[PushDone], None],
-        spawn: Callable[[Awaitable[None]], None], clock: Clock,
+        spawn: Callable[[Awaitable[None]], None], clock: Clock, sockets: int,
     ) -> None:  # fmt: skip
         self._book = book
         self._board = board
@@ -51,14 +52,20 @@
         self._spawn = spawn
         self._clock = clock
         self._pushes: dict[str, _Push] = {}
+        # Sockets for all that has to do with workers, and the machines to which a connection may
+        # stay open: each machine holds one to us for its reports anyway.
+        self._sockets = sockets
+        self._kept: set[str] = set()
 
     def reset(self) -> None:
         """Forget all: another controller leads."""
         self._pushes.clear()
+        self._kept.clear()
 
     def forget(self, name: str) -> None:
         """A machine is gone."""
         self._pushes.pop(name, None)
+        self._kept.discard(name)
 
     def ended(self, name: str) -> None:
         """The message under way has ended, answered or not."""
@@ -80,6 +87,18 @@
         machine.probed_us = self._clock.now_us()
         self._schedule(machine.name, push)
 
+    def _may_keep(self, name: str) -> bool:
+        """Whether the connection to a machine may stay open for the next order.
+
+        Else a fleet of many machines would take two sockets each, and users be refused.
+        """
+        spare = self._sockets - len(self._book.machines)
+        if name not in self._kept and len(self._kept) < spare:
+            self._kept.add(name)
+        elif name in self._kept and len(self._kept) > spare:
+            self._kept.discard(name)
+        return name in self._kept
+
     def _schedule(self, name: str, push: _Push) -> None:
         if (push.orders or push.probe) and not push.in_flight and not push.scheduled:
             push.scheduled = True
@@ -130,6 +149,7 @@
         try:
             async with self._session.post(
                 f"http://{address}/orders", data=msgspec.json.encode(message),
+                headers=None if self._may_keep(name) else _CLOSE,
                 timeout=aiohttp.ClientTimeout(total=_PUSH_TIMEOUT_S, sock_connect=1.5),
             ) as response:  # fmt: skip
                 body = await response.read()
--- a/mosswalk/fleet/steward.py
+++ b/mosswalk/fleet/steward.py
@@ -8,7 +8,7 @@
 
 import asyncio
 import logging
-from collections.abc import Awaitable, Iterable
+from collections.abc import Awaitable, Callable, Iterable
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -19,6 +19,7 @@
 from mosswalk.actors import SECOND_US, Actor, Clock, to_s, to_us
 from mosswalk.cloud.actor import CloudCaller, Listed, Released, Rented, Typed
 from mosswalk.config import Settings
+from mosswalk.config.sockets import sockets
 from mosswalk.factory.loop import (
     GiveBack,
 )
@@ -34,7 +35,7 @@
 )
 from mosswalk.fleet.moving import Moving
 from mosswalk.fleet.offers import Offers
-from mosswalk.fleet.orders import judge
+from mosswalk.fleet.orders import judge, kills_of_closed
 from mosswalk.fleet.preempting import Preempting
 from mosswalk.fleet.pushes import Pushes
 from mosswalk.fleet.renting import Renting
@@ -125,6 +126,7 @@
             to_us(2.2 * workers.report_s),
             to_us(settings.tuning.fleet.silent_reports * workers.report_s),
             self._lease_us,
+            self._lease_us + leadership.bound_us,
         )
         self._errors_to_distrust = settings.tuning.fleet.errors_to_distrust
         self._boot_patience = settings.tuning.fleet.boot_patience
@@ -162,10 +164,17 @@
             self.book, board, leadership, session,
             lambda machine, key: self._stop_grace(machine, key) is not None,
             self.tell, self.spawn, clock,
+            sockets(settings.params.machine_limits.max_connections).workers,
         )  # fmt: skip
         self._late_starts: dict[AttemptKey, int] = {}
         # Long enough that the leader, who asks each second or two, misses none of them.
         self.visitors = Visitors(2 * SECOND_US + to_us(workers.report_s), clock)
+        # Whether no leader can be reached from here, nor anybody who could name one.
+        self.left_alone: Callable[[], bool] = lambda: False
+        self._keeps = False
+        # Where each controller is.
+        self._controllers = {settings.host_name: settings.zone}
+        self._controllers.update({peer.host_name: peer.zone for peer in settings.known})
         # Within this time a machine that is well reports, give or take what reports vary by.
         self._report_us = to_us(1.3 * workers.report_s)
         board.on_attempt.append(self._attempt_appeared)
@@ -267,14 +276,29 @@
         report = message.report
         self._check_lead()
         self._leadership.outbid(report.epoch)
-        if not self._leading or not self._leadership.may_answer():
+        if self._leading and self._leadership.may_answer():
+            orders = self._take_report(report, in_answer=True)
+        elif self._may_keep(report):
+            orders = kills_of_closed(report, self._board.jobs)
+        else:
             self.visitors.came(report.machine)
             message.answer.set_result(self._refusal())
             return
-        orders = self._take_report(report, in_answer=True)
         body = msgspec.json.encode(ReportAnswer(self._leadership.epoch(), tuple(orders)))
         message.answer.set_result((200, body))
 
+    def _may_keep(self, report: Report) -> bool:
+        """Whether to keep a machine's tasks alive although another controller leads.
+
+        In a zone that is cut off nobody else can. A worker that has seen a higher epoch would
+        drop our answer and stay with us until its lease ends, so it is sent on.
+        """
+        keeps = self._leadership.may_keep() and self.left_alone()
+        if keeps != self._keeps:
+            self._keeps = keeps
+            log.info("workers are kept alive here" if keeps else "workers are kept alive no more")
+        return keeps and report.epoch <= self._leadership.epoch()
+
     def cut_from_workers(self, elsewhere: int) -> bool:
         """Whether the workers can't reach this leader, but turn to others."""
         now_us = self._clock.now_us()
@@ -591,7 +615,10 @@
                 self._release(machine, "its notice is over")
                 # Its silence says nothing of a cut.
                 del silences[name]
-        for name in to_release(silences, self._patience):
+        zone_of = {name: self.book.machines[name].zone for name in silences}
+        # Where all controllers are gone too, they may keep the workers alive.
+        cut_off = set(self._controllers.values()) - self._leadership.present_in(self._controllers)
+        for name in to_release(silences, self._patience, zone_of, cut_off):
             machine = self.book.machines[name]
             what = "silent" if machine.deaf_since_us is None else "does not hear"
             self._release(machine, f"{what} for {silences[name] / SECOND_US:.1f} s")
--- a/mosswalk/leadership/actor.py
+++ b/mosswalk/leadership/actor.py
@@ -6,7 +6,7 @@
 import contextlib
 import logging
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 from msgspec import Raw
 
@@ -54,7 +54,7 @@
         # How long a leader that can't reach the state service may keep workers alive. A job
         # may be withdrawn elsewhere right after its last confirmation: its tasks must be dead
         # within cancel_s, and they die lease_s after the last answer.
-        self._bound_us = to_us(max(0.0, (workers.cancel_s - workers.lease_s) * 0.95 - 1.0))
+        self.bound_us = to_us(max(0.0, (workers.cancel_s - workers.lease_s) * 0.95 - 1.0))
         self._lease: int | None = None
         self._lease_us = 0
         self._absent = 0
@@ -92,7 +92,21 @@
     def may_answer(self) -> bool:
         """Whether a leader may still renew workers' leases."""
         confirmed_us = min(self._lease_us, self._mirror.confirmed_us)
-        return self.leads() and self._clock.now_us() - confirmed_us < self._bound_us
+        return self.leads() and self._clock.now_us() - confirmed_us < self.bound_us
+
+    def may_keep(self) -> bool:
+        """Whether one that does not lead may renew workers' leases, when nobody else can.
+
+        For as long as a leader might, and for the same reason: what it doesn't know to be
+        withdrawn by then is dead in time.
+        """
+        if self.term is None or self.leads() or self.term.term < self._outbid:
+            return False
+        return self._clock.now_us() - self._mirror.confirmed_us < self.bound_us
+
+    def present_in(self, zones: Mapping[str, str]) -> set[str]:
+        """The zones in which a controller is up, given each one's zone."""
+        return {zones[node] for node in {*self.runs, self.node} if node in zones}
 
     def may_start(self) -> bool:
         """Whether a leader may start tasks: only while it hears from the state service."""
--- a/mosswalk/peers/health.py
+++ b/mosswalk/peers/health.py
@@ -48,6 +48,8 @@
         self._leads = leads
         self._on_unreachable = on_unreachable
         self._on_visitors = on_visitors
+        # Who did not answer when this controller, not served, last asked; None while it is served.
+        self.lost: frozenset[str] | None = None
         # Tries in a row that failed, by controller.
         self._failed: dict[str, int] = dict.fromkeys(self._others, 0)
         self.alone = False
@@ -58,6 +60,16 @@
         """Whether the state service serves this controller."""
         return self._clock.now_us() - self._confirmed_us() < FRESH_US
 
+    def left_alone_by(self, leader: str | None) -> bool:
+        """Whether no leader can be reached from here, nor anybody who could name one.
+
+        So it is in a zone that is cut off, or where the leader died in an outage of the state
+        service.
+        """
+        if self.lost is None or self.served is not None:
+            return False
+        return leader is None or leader in self.lost
+
     async def _ask(self, node: str) -> Sight | None:
         try:
             return await self._peers.sight(node)
@@ -71,7 +83,7 @@
         if fresh and self.alone:
             log.info("served by the state service again")
         if fresh:
-            self.alone, self.served = False, None
+            self.alone, self.served, self.lost = False, None, None
         if not self._others or (fresh and not self._leads()):
             # What was seen long ago must not pass anybody over when this controller leads again.
             self._failed = dict.fromkeys(self._others, 0)
@@ -88,6 +100,7 @@
             (n for n, a in zip(self._others, answers, strict=True) if a is not None and a.fresh),
             None,
         )
+        self.lost = frozenset(n for n, a in zip(self._others, answers, strict=True) if a is None)
         # With nobody to ask either, this controller is cut off from all: others may serve.
         alone = self.served is not None or all(answer is None for answer in answers)
         if alone and not self.alone:
--- a/mosswalk/service.py
+++ b/mosswalk/service.py
@@ -17,6 +17,7 @@
 from mosswalk.cloud.actor import CloudCaller
 from mosswalk.cloud.client import CloudClient
 from mosswalk.config import Settings, split_address
+from mosswalk.config.sockets import sockets
 from mosswalk.fleet.steward import Steward
 from mosswalk.jobs.board import Board
 from mosswalk.leadership.actor import Leadership
@@ -34,14 +35,17 @@
 
 # The part of the writes that placings and outcomes may use.
 _WORK_SHARE = 0.75
+# Workers and users are heard every few seconds: one silent for longer is cut off or gone, and
+# its half-open connection must not keep a socket for long.
+_KEEPALIVE_S = 30.0
 
 
 class Controller:
     """One controller; everything it needs is handed in, so that tests can stand in for it."""
 
     def __init__(
-        self, settings: Settings, session: aiohttp.ClientSession, clock: Clock,
-        rng: random.Random,
+        self, settings: Settings, session: aiohttp.ClientSession, orders: aiohttp.ClientSession,
+        clock: Clock, rng: random.Random,
     ) -> None:  # fmt: skip
         params = settings.params
         self.settings = settings
@@ -61,7 +65,7 @@
         self.peers = PeerClient(session, settings)
         self.steward = Steward(
             settings, self.mirror, self.board, self.writer, self.leadership, self.owner,
-            self.peers, session, clock,
+            self.peers, orders, clock,
         )  # fmt: skip
         self.cloud = CloudCaller(
             CloudClient(session, settings.outside.cloud), clock, rng, params.cloud.rps,
@@ -75,6 +79,7 @@
             self.leadership.note_unreachable, self._visitors_elsewhere,
         )  # fmt: skip
         self.desk.elsewhere = self._poll_elsewhere
+        self.steward.left_alone = lambda: self.health.left_alone_by(self.leadership.leader())
         # Followers need not hear of each change at once: with many controllers, their watches
         # would take most of the requests that the state service allows.
         self.mirror.in_haste = lambda: self.leadership.leads() or self.leadership.owns_any()
@@ -130,21 +135,25 @@
 async def listen(app: web.Application, address: str) -> web.AppRunner:
     """Serve an application."""
     runner = web.AppRunner(
-        app, access_log=None, keepalive_timeout=120.0, handle_signals=False, shutdown_timeout=0.2
-    )
+        app, access_log=None, keepalive_timeout=_KEEPALIVE_S, handle_signals=False,
+        shutdown_timeout=0.2,
+    )  # fmt: skip
     await runner.setup()
     host, port = split_address(address)
     await web.TCPSite(runner, host, port, backlog=512, reuse_address=True).start()
     return runner
 
 
+def _session(most: int) -> aiohttp.ClientSession:
+    connector = aiohttp.TCPConnector(limit=most, limit_per_host=0, keepalive_timeout=_KEEPALIVE_S)
+    return aiohttp.ClientSession(connector=connector)
+
+
 async def serve(settings: Settings) -> None:
     """Run a controller until it is killed."""
-    # Sockets are limited: the larger part is left for users and workers.
-    most = max(16, settings.params.machine_limits.max_connections // 4)
-    connector = aiohttp.TCPConnector(limit=most, limit_per_host=0, keepalive_timeout=30.0)
-    async with aiohttp.ClientSession(connector=connector) as session:
-        controller = Controller(settings, session, SystemClock(), random.Random())
+    budget = sockets(settings.params.machine_limits.max_connections)
+    async with _session(budget.calls) as session, _session(budget.orders) as orders:
+        controller = Controller(settings, session, orders, SystemClock(), random.Random())
         users, peers = controller.apps()
         await listen(users, settings.serve_on)
         await listen(peers, settings.cluster_listen)
--- a/tests/test_cluster.py
+++ b/tests/test_cluster.py
@@ -9,6 +9,8 @@
 
 from mosswalk.config import Team
 from mosswalk.fleet import steward
+from mosswalk.peers import health
+from mosswalk.store import mirror
 from tests.standins import spec
 from tests.world import LEASE_S, World
 
@@ -49,6 +51,14 @@
         )
 
 
+async def until(condition, within_s=10.0):
+    """Wait for something that no message tells of; the caller asserts what it needs."""
+    for _ in range(int(within_s / 0.05)):
+        if condition():
+            return
+        await asyncio.sleep(0.05)
+
+
 def cluster(test, **options):
     async def run():
         async with AsyncExitStack() as stack:
@@ -103,10 +113,7 @@
         )
         status, body = await users.call("POST", "/api/jobs/j-000005/withdraw", node="moss-2")
         assert (status, body["phase"]) == (200, "withdrawn")
-        for _ in range(100):
-            if not world.on:
-                break
-            await asyncio.sleep(0.05)
+        await until(lambda: not world.on)
         assert not world.on
         assert (await users.submit(spec("j-000005", kind="daemon")))[1]["phase"] == "withdrawn"
 
@@ -228,10 +235,7 @@
                 names[w.target % len(names)] == leads[0] for w, _ in world.workers.values()
             )
 
-        for _ in range(120):
-            if moved():
-                break
-            await asyncio.sleep(0.05)
+        await until(moved)
         # The old one would answer them for 8.5 s.
         assert moved()
         await users.submit(spec("j-000071"), others[0])
@@ -255,10 +259,7 @@
         await asyncio.sleep(1.0)
         where, old = dict(world.on), world.leader()
         world.cut_from_workers.add(old)
-        for _ in range(int(LEASE_S / 0.05)):
-            if world.leader() not in (old, None):
-                break
-            await asyncio.sleep(0.05)
+        await until(lambda: world.leader() not in (old, None), LEASE_S)
         assert world.leader() not in (old, None)
         # The state service serves it all the while, but it does not take the lead back.
         await asyncio.sleep(LEASE_S)
@@ -268,6 +269,39 @@
     cluster(test)
 
 
+def test_workers_of_a_zone_that_is_cut_off_are_kept_alive_there(monkeypatch):
+    monkeypatch.setattr(health, "FRESH_US", 1_500_000)
+    monkeypatch.setattr(mirror, "_HOLD_MS", 300)
+
+    async def test(world, users):
+        inside = "moss-2"  # the only one in zone b
+        outside = [n for n in world.addresses if n != inside]
+        if world.leader() == inside:
+            await world.kill_controller(inside)
+            await until(lambda: world.leader() is not None)
+            await world.start_controller(inside)
+        world.services.update({"j-000076", "j-000077"})
+        for job_id in ("j-000076", "j-000077"):
+            job = spec(job_id, kind="daemon", tasks=4, cpus=2.0, spot=False, zone="b")
+            await users.submit(job, outside[0])
+        await until(lambda: len(world.on) == 8)
+        where = dict(world.on)
+        assert len(where) == 8
+        world.cut_off(inside)
+        world.cut_from_workers.update(outside)
+        await asyncio.sleep(LEASE_S + 2.0)
+        assert world.on == where
+        # One that leads here would be obeyed; one that does not may only end what is over.
+        assert not world.controllers[inside][0].leadership.leads()
+        world.heal(inside)
+        world.cut_from_workers.clear()
+        await users.call("POST", "/api/jobs/j-000077/withdraw", node=outside[0])
+        await until(lambda: len(world.on) == 4)
+        assert world.on == {t: m for t, m in where.items() if t.startswith("j-000076")}
+
+    cluster(test)
+
+
 def test_a_controller_refused_alone_says_so_and_its_users_still_get_answers():
     async def test(world, users):
         await users.submit(spec("j-000080"))
@@ -302,10 +336,8 @@
             {"piece": "j-000090/0", "try": 1, "phase": "exited", "cause": "done"}]}  # fmt: skip
         ghost = {**copy, "host": "vm-ghost", "addr": "127.0.0.1:9", "pieces": []}
         await world.kill_controller(world.leader())
-        for _ in range(100):
-            if (leader := world.leader()) is not None:
-                break
-            await asyncio.sleep(0.02)
+        await until(lambda: world.leader() is not None)
+        leader = world.leader()
         for _ in range(5):
             for late in (early, ghost):
                 await users.call("POST", "/v1/report", late, node=leader)
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -2,11 +2,14 @@
 
 from hypothesis import given
 from hypothesis import strategies as st
+from msgspec import structs
 
 from mosswalk.fleet.book import Book, Machine
-from mosswalk.fleet.orders import judge
+from mosswalk.fleet.orders import judge, kills_of_closed
+from mosswalk.jobs.state import Job, new_record
 from mosswalk.store.records import Attempt
 from mosswalk.wire.workers import Report, TaskReport
+from tests.standins import spec
 
 KEY = ("j-1", 0, 4)
 ATTEMPT = {KEY: Attempt(0, 4, "vm-1", 2, 7)}
@@ -117,3 +120,19 @@
     for name, size in (("a", 10.0), ("b", 6.0), ("a", 10.0), ("c", 8.0)):
         on.used_image(name, size, 20.0)
     assert list(on.images) == ["a", "c"]
+
+
+def test_one_that_only_keeps_tasks_alive_ends_those_that_may_be_withdrawn():
+    """A task withdrawn before the cut would else live on for a lease more with each answer."""
+    jobs = {n: open_job(n) for n in ("j-1", "j-2")}
+    jobs["j-2"].record = structs.replace(jobs["j-2"].record, phase="withdrawn")
+    tasks = [TaskReport(f"j-{i}/0", 1, "running") for i in (1, 2, 3)]
+    tasks.append(TaskReport("j-4/0", 1, "exited", "done"))
+    report = Report("vm-1", "h:1", "small", "a", 2, 50, 7, tasks=tuple(tasks))
+    kills = kills_of_closed(report, jobs)
+    assert [(k.op, k.task, k.grace_s) for k in kills] == [
+        ("kill", "j-2/0", 0.0), ("kill", "j-3/0", 0.0)]  # fmt: skip
+
+
+def open_job(job_id):
+    return Job(new_record(spec(job_id), 0, 8), 1)
--- /dev/null
+++ b/tests/test_sockets.py
@@ -0,0 +1,43 @@
+"""A leader of many machines stays within its sockets, and users find some left."""
+
+import asyncio
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from mosswalk.config.sockets import sockets
+from mosswalk.fleet.book import Book, Machine
+from mosswalk.fleet.pushes import Pushes
+from tests.standins import FakeClock
+
+
+@given(st.integers(200, 5000))
+def test_what_is_shared_out_leaves_sockets_for_users(most):
+    budget = sockets(most)
+    assert budget.calls + budget.orders + budget.workers <= most * 0.96
+
+
+def test_connections_for_orders_are_closed_as_the_fleet_grows():
+    """Two sockets a machine, as it was, are 1800 at 900 machines, of 1551 that there are."""
+
+    async def run():
+        book = Book()
+        budget = sockets(1551)
+        pushes = Pushes(
+            book, None, None, None, lambda *_: False, lambda _: None, lambda _: None,
+            FakeClock(), budget.workers,
+        )  # fmt: skip
+        for count in (300, 600, 900, 1100):
+            for i in range(count):
+                name = f"vm-{i:06d}"
+                book.machines.setdefault(
+                    name, Machine(name, "small", "a", False, "up", 0, 0)
+                )  # fmt: skip
+            kept = sum(pushes._may_keep(name) for name in book.machines)
+            assert kept == min(count, max(0, budget.workers - count))
+        for name in list(book.machines)[200:]:
+            book.remove(name)
+            pushes.forget(name)
+        assert all(pushes._may_keep(name) for name in book.machines)
+
+    asyncio.run(run())
--- a/tests/world.py
+++ b/tests/world.py
@@ -348,15 +348,16 @@
             runner = await listen(app, address)
             stack.push_async_callback(runner.cleanup)
         names = [f"moss-{i}" for i in range(count)]
+        zone = {n: "b" if n == names[-1] else "a" for n in names}
         peer = {n: f"127.0.0.1:{ports[2 + 2 * i]}" for i, n in enumerate(names)}
         self.addresses = {n: f"127.0.0.1:{ports[3 + 2 * i]}" for i, n in enumerate(names)}
         for name in names:
             self.settings[name] = Settings(
-                name, "a", self.addresses[name], peer[name], Outside(cloud, state),
+                name, zone[name], self.addresses[name], peer[name], Outside(cloud, state),
                 Params(("a", "b"), WorkerLimits(REPORT_S, LEASE_S, 15.0),
                        StateLimits(5000.0, 500.0, 16.0, 16), CloudLimits(50.0, 0.2),
                        teams=self.teams, machine_limits=MachineLimits()),
-                tuple(Peer(n, "a", peer[n]) for n in names if n != name), QUICK,
+                tuple(Peer(n, zone[n], peer[n]) for n in names if n != name), QUICK,
             )  # fmt: skip
             await self.start_controller(name)
         stack.push_async_callback(self.stop)
@@ -364,7 +365,7 @@
     async def start_controller(self, name: str) -> None:
         session = aiohttp.ClientSession(headers={"From": name})
         rng = random.Random(f"{name}-{len(self.controllers)}-{time.monotonic_ns()}")
-        controller = Controller(self.settings[name], session, SystemClock(), rng)
+        controller = Controller(self.settings[name], session, session, SystemClock(), rng)
         users, peers = controller.apps()
         runners = [
             await listen(users, self.settings[name].serve_on),
@@ -383,6 +384,13 @@
                 if name in (other, known):
                     addresses[known] = nowhere
 
+    def heal(self, name: str) -> None:
+        """End what ``cut_off`` began."""
+        self.state.refused.discard(name)
+        for controller, *_ in self.controllers.values():
+            for peer in controller.settings.known:
+                controller.peers._addresses[peer.host_name] = peer.address
+
     async def kill_controller(self, name: str) -> None:
         """As a crash: nothing is said to anybody."""
         _, tasks, held = self.controllers.pop(name)
