--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -1,4 +1,4 @@
-"""A leader of 900 machines: what reports cost is counted, so that the verdict is always the same."""
+"""A leader of 900 machines: what reports cost it, counted so that the verdict never varies."""
 
 import asyncio
 from types import SimpleNamespace
