Give a zone's machines time to come back when its cut heals; answer up to the bound

Their controllers had been seen again before their workers had, so the longer patience ended at once. The margin of 2.25 s guarded against nothing known: a lease runs from when a report was sent, however late its answer, so only the clocks' drift (0.03 s) counts. 0.55 s are left.

--- a/mosswalk/fleet/steward.py
+++ b/mosswalk/fleet/steward.py
@@ -170,6 +170,8 @@
         self._keeps = False
         # Where each controller is.
         self._controllers = {settings.host_name: settings.zone}
+        # When a zone had no controller that could be seen.
+        self._unseen_us: dict[str, int] = {}
         self._controllers.update({peer.host_name: peer.zone for peer in settings.known})
         # Within this time a machine that is well reports, give or take what reports vary by.
         self._report_us = to_us(1.3 * workers.report_s)
@@ -255,6 +257,7 @@
             self._stops.clear()
             self._pushes.reset()
             self._late_starts.clear()
+            self._unseen_us.clear()
             if self.cloud is not None:
                 self.cloud.forget()
 
@@ -627,9 +630,7 @@
                 # Its silence says nothing of a cut.
                 del silences[name]
         zone_of = {name: self.book.machines[name].zone for name in silences}
-        # Where all controllers are gone too, they may keep the workers alive.
-        cut_off = set(self._controllers.values()) - self._leadership.present_in(self._controllers)
-        for name in to_release(silences, self._patience, zone_of, cut_off):
+        for name in to_release(silences, self._patience, zone_of, self._cut_off()):
             machine = self.book.machines[name]
             what = "silent" if machine.deaf_since_us is None else "does not hear"
             self._release(machine, f"{what} for {silences[name] / SECOND_US:.1f} s")
@@ -642,6 +643,18 @@
             if now_us - machine.rented_us > self._boot_patience * to_us(shape.boot_s):
                 self._release(machine, "never came up")
 
+    def _cut_off(self) -> set[str]:
+        """Zones where no controller is seen: they may keep the workers alive there.
+
+        And those where one is seen again, until the workers have found their way back: seen on a
+        standard day, a zone's machines were all released in the second in which its cut healed.
+        """
+        now_us = self._clock.now_us()
+        zones = set(self._controllers.values())
+        for zone in zones - self._leadership.present_in(self._controllers):
+            self._unseen_us[zone] = now_us
+        return {z for z, seen_us in self._unseen_us.items() if now_us - seen_us < _TAKEOVER_US}
+
     def _watch_late_starts(self) -> None:
         """End starts on the way for withdrawn jobs, by a new term that outdates them."""
         now_us = self._clock.now_us()
--- a/mosswalk/leadership/actor.py
+++ b/mosswalk/leadership/actor.py
@@ -12,7 +12,7 @@
 
 from mosswalk.actors import Clock, to_us
 from mosswalk.config import Settings
-from mosswalk.leadership.terms import needs_new_term, next_term
+from mosswalk.leadership.terms import answer_bound_us, needs_new_term, next_term
 from mosswalk.store import records
 from mosswalk.store.client import (
     ConflictError,
@@ -51,10 +51,7 @@
         self._renew_s = settings.tuning.leadership.renew_s
         self._teams = [team.name for team in settings.params.teams]
         workers = settings.params.workers
-        # How long a leader that can't reach the state service may keep workers alive. A job
-        # may be withdrawn elsewhere right after its last confirmation: its tasks must be dead
-        # within cancel_s, and they die lease_s after the last answer.
-        self.bound_us = to_us(max(0.0, (workers.cancel_s - workers.lease_s) * 0.95 - 1.0))
+        self.bound_us = answer_bound_us(workers.lease_s, workers.cancel_s)
         self._lease: int | None = None
         self._lease_us = 0
         self._absent = 0
--- a/mosswalk/leadership/terms.py
+++ b/mosswalk/leadership/terms.py
@@ -4,9 +4,21 @@
 
 from collections.abc import Collection, Iterable, Mapping
 
+from mosswalk.actors import to_us
 from mosswalk.store.records import TermRecord
 
 
+def answer_bound_us(lease_s: float, cancel_s: float) -> int:
+    """How long workers may be kept alive without the state service, since it last confirmed.
+
+    A job may be withdrawn elsewhere right after that: its tasks must be dead within ``cancel_s``,
+    and they die ``lease_s`` after their worker sent the last report that was answered, however
+    long the answer took. So the margin is only for what clocks drift apart, 0.05 % each, and for
+    a worker's own slowness.
+    """
+    return to_us(max(0.0, (cancel_s - lease_s) * 0.998 - 0.5))
+
+
 def assign_teams(
     teams: Iterable[str], leader: str, alive: Iterable[str], before: Mapping[str, str]
 ) -> dict[str, str]:
--- a/tests/test_cluster.py
+++ b/tests/test_cluster.py
@@ -236,7 +236,7 @@
             )
 
         await until(moved)
-        # The old one would answer them for 8.5 s.
+        # The old one would answer them for 9.4 s.
         assert moved()
         await users.submit(spec("j-000071"), others[0])
         for _ in range(200):
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -4,10 +4,13 @@
 import random
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 from msgspec import Raw
 
 from mosswalk.config import load
 from mosswalk.leadership.actor import Leadership
+from mosswalk.leadership.terms import answer_bound_us
 from mosswalk.peers.health import FRESH_US, Health
 from mosswalk.store import records
 from mosswalk.store.mirror import Mirror
@@ -83,3 +86,41 @@
         assert client.commits == commits
 
     asyncio.run(run())
+
+
+@given(st.floats(0.5, 60.0), st.floats(0.0, 120.0))
+def test_what_is_withdrawn_unseen_is_dead_in_time_however_the_clocks_drift(lease_s, more_s):
+    cancel_s = lease_s + more_s
+    bound_s = answer_bound_us(lease_s, cancel_s) / 1e6
+    # Ours and the worker's clock run slow, the users' fast.
+    dead_s = (bound_s + lease_s) * 1.001
+    assert bound_s == 0 or dead_s < cancel_s - 0.3 + 0.001 * lease_s
+
+
+def test_one_keeps_workers_alive_only_where_nobody_leads_nor_knows_who_does():
+    async def run():
+        answers = {"lead": None, "in": Sight(False)}
+        clock, confirmed_us = FakeClock(), 0
+
+        class Link:
+            async def sight(self, node):
+                if answers[node] is None:
+                    raise OSError
+                return answers[node]
+
+        health = Health(answers, Link(), lambda: confirmed_us, clock)
+        confirmed_us = clock.us
+        await health.look()
+        assert not health.left_alone_by("lead")
+        clock.us += FRESH_US
+        await health.look()
+        assert health.left_alone_by("lead") and not health.left_alone_by("in")
+        assert health.left_alone_by(None)
+        answers["in"] = Sight(True)
+        await health.look()
+        assert not health.left_alone_by("lead")
+        answers["in"], answers["lead"] = Sight(False), Sight(False)
+        await health.look()
+        assert not health.left_alone_by("lead")
+
+    asyncio.run(run())
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -39,8 +39,11 @@
     def outbid(self, epoch):
         assert epoch <= 3
 
+    def __init__(self):
+        self.present = {"a", "b"}
+
     def present_in(self, zones):
-        return set(zones.values())
+        return self.present & set(zones.values())
 
 
 @pytest.fixture
@@ -51,7 +54,8 @@
     mirror, clock = MirrorOf(), FakeClock()
     mirror.after_batch = lambda action: None
     board, owner = Board(mirror), SimpleNamespace(outcomes=lambda message: None)
-    steward = Steward(settings, mirror, board, None, Led(), owner, None, None, clock)
+    leadership = Led()
+    steward = Steward(settings, mirror, board, None, leadership, owner, None, None, clock)
     steward._leading, steward._first_epoch = True, 3
     steward._plan_scheduled = False
     steward.book.types = {"small": shape()}
@@ -69,8 +73,9 @@
     offers._build = build
     steward._poke = lambda: setattr(counts, "plans", counts.plans + 1)
     return SimpleNamespace(
-        steward=steward, mirror=mirror, board=board, offers=offers, clock=clock, counts=counts
-    )
+        steward=steward, mirror=mirror, board=board, offers=offers, clock=clock, counts=counts,
+        leadership=leadership,
+    )  # fmt: skip
 
 
 def report(led, index, tick, *tasks):
@@ -118,3 +123,27 @@
         assert led.counts.plans == 1
 
     asyncio.run(run())
+
+
+def test_a_zone_that_was_cut_off_is_given_time_to_come_back(led):
+    """Released in the second in which their cut healed: 250 machines, tasks and all."""
+    steward, clock = led.steward, led.clock
+    zone = steward._settings.zone
+    released = []
+    steward.cloud = SimpleNamespace(release=released.extend)
+    for machine in steward.book.machines.values():
+        machine.zone = zone
+    steward._since_us = clock.us - 60 * S
+    led.leadership.present = set()
+    silent_us = steward._patience.lease_us + steward._patience.silent_us + 2 * S
+    for _ in range(silent_us // S):
+        clock.us += S
+        steward._suspect()
+    led.leadership.present = {zone}
+    for _ in range(6):
+        clock.us += S
+        steward._suspect()
+    assert released == []
+    clock.us += 4 * S
+    steward._suspect()
+    assert len(released) == MACHINES
