--- a/mosswalk/factory/loop.py
+++ b/mosswalk/factory/loop.py
@@ -8,6 +8,7 @@
 
 import logging
 import math
+from collections import Counter
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field
 from statistics import median
@@ -206,10 +207,7 @@
             )
         return figures
 
-    def _open_pools(self, shape: MachineType, view: View) -> list[Pool]:
-        counts: dict[Pool, int] = {}
-        for machine in view.machines:
-            counts[machine.pool] = counts.get(machine.pool, 0) + 1
+    def _open_pools(self, shape: MachineType, view: View, counts: Mapping[Pool, int]) -> list[Pool]:
         return [
             (shape.name, zone, spot)
             for zone in shape.zones
@@ -264,10 +262,14 @@
                         milli_room(shape.memory_gb),
                     )
                 )  # fmt: skip
+        booting = {room.machine: room for room in rooms}
+        least_cpus = min((tasks.job.cpus for tasks in view.waiting), default=0)
         left: list[WaitingTasks] = []
         for tasks in view.waiting:
             rule = ZoneRule(tasks.rule.one_zone, tasks.rule.most_in_zone, dict(tasks.rule.counts))
             count = tasks.count
+            # Most rooms are full soon: each job would ask them all again.
+            rooms = [room for room in rooms if room.cpus >= least_cpus]
             for room in rooms:
                 if not count:
                     break
@@ -280,7 +282,6 @@
                     count -= taken
             if count:
                 left.append(WaitingTasks(tasks.job, count, rule, tasks.patient, tasks.urgent))
-        booting = {room.machine: room for room in rooms}
         for m in view.machines:
             if m.name in booting:
                 room, shape = booting[m.name], view.types[m.pool[0]]
@@ -297,7 +298,8 @@
         shape's load would rent for it several times over.
         """
         shares: dict[str, list[_Group]] = {}
-        open_pools = {name: self._open_pools(t, view) for name, t in view.types.items()}
+        counts = Counter(m.pool for m in view.machines)
+        open_pools = {name: self._open_pools(t, view, counts) for name, t in view.types.items()}
         choices: list[tuple[WaitingTasks, dict[str, tuple[Pool, ...]]]] = []
         # By shape and by whether spot machines of it would serve: what must have steady machines
         # does not fill spot ones, nor the other way round.
@@ -356,9 +358,7 @@
         # More than a call rents would be taken for refused.
         left = min(self._tuning.most_rented, MAX_RENT)
         added: dict[Pool, int] = {}
-        counts: dict[Pool, int] = {}
-        for machine in view.machines:
-            counts[machine.pool] = counts.get(machine.pool, 0) + 1
+        counts = Counter(m.pool for m in view.machines)
         for group in sorted(groups, key=lambda g: g.rank):
             if group.can_wait and group.weight < self._tuning.least_fill:
                 continue
@@ -367,9 +367,7 @@
             asked: list[Pool] = []
             while need > 0 and left > 0:
                 pools = [
-                    p
-                    for p in group.pools
-                    if counts.get(p, 0) + added.get(p, 0) < self._tuning.pool_cap
+                    p for p in group.pools if counts[p] + added.get(p, 0) < self._tuning.pool_cap
                 ]
                 if not pools:
                     break
--- a/mosswalk/fleet/renting.py
+++ b/mosswalk/fleet/renting.py
@@ -6,7 +6,7 @@
 from collections import Counter
 from collections.abc import Callable, Iterable
 
-from mosswalk.actors import Clock, to_us
+from mosswalk.actors import SECOND_US, Clock, to_us
 from mosswalk.cloud.actor import Rented
 from mosswalk.config import Settings
 from mosswalk.factory.cordon import Occupancy, to_cordon
@@ -27,6 +27,8 @@
 
 log = logging.getLogger(__name__)
 
+_CORDON_US = 2 * SECOND_US
+
 
 class Renting:
     """Shows the factory what there is, and keeps what it has asked for."""
@@ -45,6 +47,8 @@
         self._stuck: dict[str, list[Job]] = {}
         self._stuck_since: dict[str, int] = {}
         self.cordoned: set[str] = set()
+        self._to_cordon: set[str] = set()
+        self._cordoned_us = -_CORDON_US
         # Rentals asked for and not yet answered: they count as requested machines, or a slow
         # cloud would be asked for the same again each period.
         self._asked: Counter[Pool] = Counter()
@@ -182,7 +186,12 @@
         emptying: set[str],
     ) -> tuple[dict[Pool, tuple[int, ...]], list[GiveBack]]:  # fmt: skip
         """One turn of the loops: rents by pool, and machines to return."""
-        self.cordoned = to_cordon(self._occupancy(room_of)) | emptying
+        now_us = self._clock.now_us()
+        if now_us - self._cordoned_us >= _CORDON_US:
+            # It walks and sorts all machines, and what it finds changes slowly.
+            self._cordoned_us = now_us
+            self._to_cordon = to_cordon(self._occupancy(room_of))
+        self.cordoned = self._to_cordon | emptying
         wanted: dict[Pool, tuple[int, ...]] = {}
         returned: list[GiveBack] = []
         for decision in self._factory.decide(self._view(waiting, calls)):
