--- a/mosswalk/jobs/state.py
+++ b/mosswalk/jobs/state.py
@@ -68,8 +68,8 @@
         self.gpus = milli(spec.gpus)
         self.memory = milli(spec.memory_gb)
         self.rank = PRIORITIES.index(spec.priority)
-        # Its place in its team's queue, and for which moment that was worked out.
-        self.place_in_queue: tuple[int, tuple[int, bool, int, int, str]] | None = None
+        # Its place in its team's queue, with by whose aims and for which moment it was worked out.
+        self.place_in_queue: tuple[object, int, tuple[int, bool, int, int, str]] | None = None
 
     @property
     def open(self) -> bool:
--- a/mosswalk/placement/queues.py
+++ b/mosswalk/placement/queues.py
@@ -74,9 +74,9 @@
         """Sorts a team's jobs; the same for a moment, as plans are made many times a second."""
         moment = wall_us // _MOMENT_US
         known = job.place_in_queue
-        if known is None or known[0] != moment:
-            known = job.place_in_queue = (moment, self._key(job, wall_us))
-        return known[1]
+        if known is None or known[0] is not self or known[1] != moment:
+            known = job.place_in_queue = (self, moment, self._key(job, wall_us))
+        return known[2]
 
     def _key(self, job: Job, wall_us: int) -> tuple[int, bool, int, int, str]:
         submitted_us = job.record.submitted_us
