Judge the lead anew before each cloud call; use free room while the cloud is down

Found by reading for a frozen controller: what it had decided to release went out when it went on, up to 22 s later, though another led by then. Rents and releases are now judged right before the call, by whether the state service has been heard of within 5 s. A rent given up so is told as one that brought nothing, or the factory would count it as requested for ever. And a leader that begins in an outage of the cloud knew no machine types, so it placed nothing: it now takes them from the records, and rents only once the cloud has told prices.

--- a/mosswalk/api/jobs.py
+++ b/mosswalk/api/jobs.py
@@ -46,7 +46,6 @@
 _POLL_S = 1.0
 _MOST_FINAL = 2000
 _TRIES = 6
-_types_decoder = msgspec.json.Decoder(tuple[MachineType, ...])
 
 
 class Reply(Struct, frozen=True):
@@ -96,7 +95,7 @@
 
     def _types_changed(self, _key: str, value: bytes | None, _version: int) -> None:
         if value is not None:
-            self._types = _types_decoder.decode(value)
+            self._types = records.decode_types(value)
 
     def _retry_after_s(self) -> int:
         # Spread out, so that users turned away together do not come back together.
--- a/mosswalk/cloud/actor.py
+++ b/mosswalk/cloud/actor.py
@@ -61,6 +61,7 @@
         # A part of the rate is left for a deposed leader's last calls.
         self._bucket = TokenBucket(rps * 0.9, max(2.0, rps * 1.5), clock.now_us())
         self._tell = tell
+        # Judged right before each call that changes something.
         self._entitled = entitled
         self._releases: set[str] = set()
         self._release_wake = asyncio.Event()
@@ -99,7 +100,8 @@
         for attempt in range(_MOST_TRIES):
             await self._turn()
             if not self._entitled():
-                return
+                # Perhaps we stood still, and another leads: what we decided is its business now.
+                break
             try:
                 machines = await self._client.rent(request)
                 self._served()
@@ -129,8 +131,12 @@
             self._release_wake.clear()
             pause_s = 0.4
             while self._releases:
-                batch = tuple(sorted(self._releases)[: wire.MAX_RELEASE])
                 await self._turn()
+                if not self._entitled():
+                    # As above; if we lead on, these wait until the state service has said so.
+                    await asyncio.sleep(pause_s)
+                    continue
+                batch = tuple(sorted(self._releases)[: wire.MAX_RELEASE])
                 try:
                     await self._client.release(batch)
                 except CloudError as error:
--- a/mosswalk/fleet/steward.py
+++ b/mosswalk/fleet/steward.py
@@ -145,6 +145,8 @@
         self._first_epoch = 0
         self._ticked_us = 0
         self._listed = False
+        # Whether the cloud has told us of machine types and their prices since we began to lead.
+        self._priced = False
         self._first = False
         self._asked_list_us = 0
         self._asked_types_us = 0
@@ -239,7 +241,8 @@
             self._first_epoch = self._leadership.epoch()
             # Nobody led before us, so nobody rented anything: no need to wait for the list.
             self._first = self._leadership.epoch() <= 1
-            self._listed = False
+            self._listed = self._priced = False
+            self._know_types()
             self._asked_list_us = self._asked_types_us = -_TYPES_US
             for machine in list(self._board.by_machine):
                 self._rumour(machine)
@@ -365,7 +368,8 @@
     def _standing(self, machine: Machine) -> tuple[object, ...]:
         """All that a report can change of whether and how a machine is used, besides its tasks."""
         return (
-            machine.tenure, machine.phase, machine.hears, machine.deaf_since_us is None,
+            machine.tenure, machine.phase, machine.hears, machine.rumoured,
+            machine.deaf_since_us is None,
             machine.notice_until_us is None, machine.distrusted, machine.releasing is None,
             self._offers.quiet(machine),
         )  # fmt: skip
@@ -536,7 +540,7 @@
         self._ticked_us = now_us
         if self.cloud is None or not self._leadership.may_answer():
             return
-        types_us = _TYPES_US if self.book.types else 2 * SECOND_US
+        types_us = _TYPES_US if self._priced else 2 * SECOND_US
         if now_us - self._asked_types_us > types_us:
             self._asked_types_us = now_us
             self.spawn(self.cloud.refresh_types())
@@ -573,7 +577,7 @@
 
     def _ready_to_rent(self) -> bool:
         """Whether the book can be believed: else machines we don't know of are rented again."""
-        if not self._listed or not self._leadership.may_start():
+        if not self._listed or not self._priced or not self._leadership.may_start():
             return False
         if self._first:
             return True
@@ -740,7 +744,17 @@
         self._tell_outcomes()
         self._poke()
 
+    def _know_types(self) -> None:
+        """Take machine types from the records until the cloud tells them, with prices.
+
+        It may be down when the leader is replaced, and what is free can be used all the same.
+        """
+        value = self._mirror.value(records.TYPES_KEY)
+        if value is not None and not self.book.types:
+            self.book.types = {t.name: t for t in records.decode_types(value)}
+
     def _typed(self, types: tuple[MachineType, ...]) -> None:
+        self._priced = True
         self.book.types = {t.name: t for t in types}
         for name in self.book.machines:
             self._offers.touch(name)
--- a/mosswalk/service.py
+++ b/mosswalk/service.py
@@ -69,7 +69,7 @@
         )  # fmt: skip
         self.cloud = CloudCaller(
             CloudClient(session, settings.outside.cloud), clock, rng, params.cloud.rps,
-            self.steward.tell, self.leadership.leads,
+            self.steward.tell, self.leadership.may_start,
         )  # fmt: skip
         self.steward.cloud = self.cloud
         self.desk = JobDesk(settings, self.client, self.mirror, self.users_writer, clock, rng)
--- a/mosswalk/store/records.py
+++ b/mosswalk/store/records.py
@@ -16,6 +16,7 @@
 import msgspec
 from msgspec import Struct, field
 
+from mosswalk.wire.cloud import MachineType
 from mosswalk.wire.users import JobSpec, Phase
 
 MIRROR = "m/"
@@ -117,4 +118,5 @@
 decode_chunk = msgspec.json.Decoder(TaskChunk).decode
 decode_final = msgspec.json.Decoder(FinalRecord).decode
 decode_term = msgspec.json.Decoder(TermRecord).decode
+decode_types = msgspec.json.Decoder(tuple[MachineType, ...]).decode
 decode_presence = msgspec.json.Decoder(Presence).decode
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -4,14 +4,16 @@
 from types import SimpleNamespace
 
 import pytest
-from msgspec import structs
+from msgspec import Raw, structs
 
 from mosswalk.config import Team, load
 from mosswalk.fleet.book import Machine
 from mosswalk.fleet.messages import ReportIn
 from mosswalk.fleet.steward import Steward
 from mosswalk.jobs.board import Board
+from mosswalk.store import records
 from mosswalk.store.records import TermRecord
+from mosswalk.store.writer import Change
 from mosswalk.wire.workers import Report, TaskReport
 from tests.standins import FakeClock, shape
 from tests.test_config import write
@@ -53,6 +55,7 @@
         settings.params, teams=(Team("red"),)))  # fmt: skip
     mirror, clock = MirrorOf(), FakeClock()
     mirror.after_batch = lambda action: None
+    mirror.value = lambda key: mirror.rows[key][0] if key in mirror.rows else None
     board, owner = Board(mirror), SimpleNamespace(outcomes=lambda message: None)
     leadership = Led()
     steward = Steward(settings, mirror, board, None, leadership, owner, None, None, clock)
@@ -152,3 +155,17 @@
         clock.us += S
         steward._suspect()
     assert len(released) == MACHINES - MACHINES * 6 // 7
+
+
+def test_a_leader_that_begins_while_the_cloud_is_down_uses_the_room_there_is_but_rents_none(led):
+    steward = led.steward
+    shapes = Raw(records.encode([shape(price=0.0, spot_price=0.0)]))
+    led.mirror.commit(Change({}, {records.TYPES_KEY: shapes}))
+    steward.book.types = {}
+    steward._listed = steward._first = True
+    steward._know_types()
+    steward._offers.refresh()
+    assert len(steward._offers.rooms()) == MACHINES
+    assert not steward._ready_to_rent()
+    steward._typed((shape(),))
+    assert steward._ready_to_rent()
