--- a/mosswalk/api/jobs.py
+++ b/mosswalk/api/jobs.py
@@ -191,6 +191,10 @@
         if reason is not None:
             known = await self._known(spec.id)
             return known or _error(422, reason)
+        if self._writer.wait_s() > _SUBMIT_S / 2:
+            # It would wait for nothing: told at once when to come back, it may be in time.
+            known = await self._known(spec.id)
+            return known or self._busy("more is submitted than can be written")
         return await self._create(spec)
 
     async def _known(self, job_id: str) -> Reply | None:
--- a/mosswalk/store/writer.py
+++ b/mosswalk/store/writer.py
@@ -95,6 +95,10 @@
         """Whether a write now would keep nobody waiting."""
         return not self._queue and self._bucket.available(self._clock.now_us()) > self._burst / 2
 
+    def wait_s(self) -> float:
+        """How long a change of one write that comes now would wait for its turn, roughly."""
+        return len(self._queue) / (self._write_rps * self._part)
+
     def backlog(self) -> int:
         """How many changes wait for their turn."""
         return len(self._queue)
--- /dev/null
+++ b/tests/test_desk.py
@@ -0,0 +1,44 @@
+"""What users are told when more is submitted than can be written."""
+
+import asyncio
+import random
+
+import msgspec
+
+from mosswalk.actors import SystemClock
+from mosswalk.api.jobs import JobDesk
+from mosswalk.config import load
+from mosswalk.store import records
+from mosswalk.store.mirror import Mirror
+from mosswalk.store.writer import GroupWriter
+from tests.standins import FakeClient, Store, shape, spec
+from tests.test_config import write
+
+
+def test_a_submission_that_would_wait_for_nothing_is_told_so_at_once(tmp_path):
+    async def run():
+        settings, clock, rng = load(write(tmp_path)), SystemClock(), random.Random(1)
+        client = FakeClient(Store())
+        mirror = Mirror(client, clock, rng)
+        # Nobody empties its queue, at 10 writes a second.
+        writer = GroupWriter(client, clock, rng, 10.0, 4)
+        desk = JobDesk(settings, client, mirror, writer, clock, rng)
+        desk._types_changed("", records.encode([shape()]), 1)
+        team = settings.params.teams[0].name
+
+        def submit(i):
+            return desk.submit(msgspec.json.encode(spec(f"j-{i:06d}", team=team)))
+
+        queued = [asyncio.ensure_future(submit(i)) for i in range(13)]
+        await asyncio.sleep(0.01)
+        assert not any(task.done() for task in queued)
+        reply = await submit(99)
+        assert reply.status == 503 and 1 <= reply.retry_after_s <= 3
+        loop = asyncio.create_task(writer.run())
+        assert [reply.status for reply in await asyncio.gather(*queued)] == [201] * 13
+        # One that is known is not turned down, however long others wait.
+        writer.wait_s = lambda: 9.0
+        assert (await submit(0)).status == 200
+        loop.cancel()
+
+    asyncio.run(run())
