--- /dev/null
+++ b/mosswalk/fleet/late_starts.py
@@ -0,0 +1,56 @@
+"""Starts on the way for withdrawn jobs: a new term outdates them."""
+
+from __future__ import annotations
+
+import logging
+
+from mosswalk.actors import SECOND_US, Clock
+from mosswalk.fleet.book import Book
+from mosswalk.jobs.board import AttemptKey, Board
+from mosswalk.jobs.state import task_name
+from mosswalk.leadership.actor import Leadership
+
+log = logging.getLogger(__name__)
+
+# A withdrawn task whose start may still be on the way is ended by a new term after this.
+_LATE_START_US = 5 * SECOND_US
+
+
+class LateStarts:
+    """Unanswered /orders that could still start what must not start any more."""
+
+    def __init__(self, book: Book, board: Board, leadership: Leadership, clock: Clock) -> None:
+        self._book = book
+        self._board = board
+        self._leadership = leadership
+        self._clock = clock
+        self._since_us: dict[AttemptKey, int] = {}
+
+    def reset(self) -> None:
+        """Forget all: another controller leads."""
+        self._since_us.clear()
+
+    def turn(self) -> None:
+        """Look for them, and have a new term made if one does not go away."""
+        now_us = self._clock.now_us()
+        epoch = self._leadership.epoch()
+        late: dict[AttemptKey, int] = {}
+        for machine in self._book.machines.values():
+            if not machine.unanswered:
+                continue
+            for key in self._board.attempts_on(machine.name):
+                start = (task_name(key[0], key[1]), key[2])
+                job = self._board.jobs.get(key[0])
+                withdrawn = job is not None and not job.open
+                if withdrawn and machine.may_run_late(start, epoch) and start not in machine.tasks:
+                    late[key] = self._since_us.get(key, now_us)
+            machine.unanswered = {
+                k: v
+                for k, v in machine.unanswered.items()
+                if v[0] >= epoch and v[1] == machine.tenure
+            }
+        self._since_us = late
+        if any(now_us - since_us > _LATE_START_US for since_us in late.values()):
+            log.info("new term wanted: a withdrawn task's start is still on the way")
+            self._since_us = {}
+            self._leadership.want_new_term()
--- a/mosswalk/fleet/steward.py
+++ b/mosswalk/fleet/steward.py
@@ -22,6 +22,7 @@
 from mosswalk.config.sockets import sockets
 from mosswalk.factory.loop import GiveBack, WaitingTasks
 from mosswalk.fleet.book import Book, Machine
+from mosswalk.fleet.late_starts import LateStarts
 from mosswalk.fleet.messages import (
     Message,
     OfferDone,
@@ -37,7 +38,8 @@
 from mosswalk.fleet.preempting import Preempting
 from mosswalk.fleet.pushes import Pushes
 from mosswalk.fleet.renting import Renting
-from mosswalk.fleet.suspicion import Patience, quiet_zones, taken, to_release
+from mosswalk.fleet.suspects import TAKEOVER_US, Suspects
+from mosswalk.fleet.telling import OutcomeLink, Telling
 from mosswalk.fleet.visitors import Visitors, cut_from_workers
 from mosswalk.jobs.board import AttemptKey, Board
 from mosswalk.jobs.state import Job, split_task_name, task_name
@@ -49,7 +51,7 @@
 from mosswalk.store.mirror import Mirror
 from mosswalk.store.writer import Change, GroupWriter
 from mosswalk.wire.cloud import MachineType
-from mosswalk.wire.peers import Offer, OfferAnswer, Outcome, Outcomes
+from mosswalk.wire.peers import Offer, OfferAnswer, Outcome
 from mosswalk.wire.workers import Order, Redirect, Report, ReportAnswer
 
 log = logging.getLogger(__name__)
@@ -60,7 +62,6 @@
 _PLAN_REST = 4
 _TICK_US = 500_000
 _PAUSE_US = 2 * SECOND_US
-_RESEND_US = 700_000
 _LIST_US = 4 * SECOND_US
 _TYPES_US = 60 * SECOND_US
 _PREEMPT_US = 500_000
@@ -68,24 +69,17 @@
 _ORPHANS_US = 60 * SECOND_US
 # How long room freed by stopping attempts is kept for those it was freed for.
 _CLAIM_US = 4 * SECOND_US
-# Grace after taking over, until workers have found their way to us.
-_TAKEOVER_US = 8 * SECOND_US
 # Those that have not found it by then are called, so many a tick, and again after as long.
 _DRAW_AFTER_US = 2 * SECOND_US
 _MOST_DRAWN = 64
-# A withdrawn task whose start may still be on the way is ended by a new term after this.
-_LATE_START_US = 5 * SECOND_US
 
 
-class OwnerLink(Protocol):
+class OwnerLink(OutcomeLink, Protocol):
     """How owners elsewhere are spoken to."""
 
     def offer(self, node: str, message: Offer) -> Awaitable[OfferAnswer]:
         """Offer room."""
 
-    def outcomes(self, node: str, message: Outcomes) -> Awaitable[None]:
-        """Tell outcomes."""
-
 
 @dataclass(slots=True)
 class _Stop:
@@ -93,12 +87,6 @@
     grace_s: float
 
 
-@dataclass(slots=True)
-class _Told:
-    outcome: Outcome
-    sent_us: int = 0
-
-
 class Steward(Actor[Message]):
     """See the module."""
 
@@ -120,14 +108,7 @@
         self._clock = clock
         workers = settings.params.workers
         self._lease_us = to_us(workers.lease_s)
-        self._patience = Patience(
-            to_us(2.2 * workers.report_s),
-            to_us(settings.tuning.fleet.silent_reports * workers.report_s),
-            self._lease_us,
-            self._lease_us + leadership.bound_us,
-        )
         self._errors_to_distrust = settings.tuning.fleet.errors_to_distrust
-        self._boot_patience = settings.tuning.fleet.boot_patience
         self._period_us = to_us(settings.tuning.factory.period_s)
         self._list_lag_us = to_us(settings.params.cloud.list_lag_s)
         self.book = Book()
@@ -156,7 +137,7 @@
         self._orphans_us = 0
         self._plan_scheduled = False
         self._plan_rest_us = 0
-        self._told: dict[tuple[str, int], _Told] = {}
+        self._telling = Telling(board, leadership, owner, peers, self.spawn, clock)
         self._stops: dict[AttemptKey, _Stop] = {}
         self._pushes = Pushes(
             self.book, board, leadership, session,
@@ -164,18 +145,13 @@
             self.tell, self.spawn, clock,
             sockets(settings.params.machine_limits.max_connections).workers,
         )  # fmt: skip
-        self._late_starts: dict[AttemptKey, int] = {}
+        self._suspects = Suspects(settings, self.book, leadership, clock)
+        self._late_starts = LateStarts(self.book, board, leadership, clock)
         # Long enough that the leader, who asks each second or two, misses none of them.
         self.visitors = Visitors(2 * SECOND_US + to_us(workers.report_s), clock)
         # Whether no leader can be reached from here, nor anybody who could name one.
         self.left_alone: Callable[[], bool] = lambda: False
         self._keeps = False
-        # Where each controller is.
-        self._controllers = {settings.host_name: settings.zone}
-        # When a zone had no controller that could be seen, and when many machines were quiet in it.
-        self._unseen_us: dict[str, int] = {}
-        self._quiet_us: dict[str, int] = {}
-        self._controllers.update({peer.host_name: peer.zone for peer in settings.known})
         # Within this time a machine that is well reports, give or take what reports vary by.
         self._report_us = to_us(1.3 * workers.report_s)
         board.on_attempt.append(self._attempt_appeared)
@@ -257,12 +233,11 @@
             self.book.reset()
             self._renting.reset()
             self._offers.reset()
-            self._told.clear()
+            self._telling.reset()
             self._stops.clear()
             self._pushes.reset()
-            self._late_starts.clear()
-            self._unseen_us.clear()
-            self._quiet_us.clear()
+            self._late_starts.reset()
+            self._suspects.reset()
             if self.cloud is not None:
                 self.cloud.forget()
 
@@ -306,7 +281,7 @@
     def cut_from_workers(self, elsewhere: int) -> bool:
         """Whether the workers can't reach this leader, but turn to others."""
         now_us = self._clock.now_us()
-        if not self._leading or now_us - self._since_us < _TAKEOVER_US:
+        if not self._leading or now_us - self._since_us < TAKEOVER_US:
             return False
         up = [m for m in self.book.machines.values() if m.phase == "up" and not m.releasing]
         heard = sum(1 for m in up if now_us - m.seen_us < self._report_us)
@@ -352,9 +327,9 @@
         # A report from before our time may be a late copy: it proves nothing.
         outcomes = judgement.outcomes if machine.hears else []
         for outcome in outcomes:
-            self._told.setdefault((outcome.task, outcome.attempt), _Told(outcome)).outcome = outcome
+            self._telling.reported(outcome)
         if outcomes:
-            self._tell_outcomes()
+            self._telling.turn()
         if changed or before != self._standing(machine):
             # Most reports tell nothing new: room and plans are worked out for the others only.
             self._offers.touch(machine.name)
@@ -470,41 +445,6 @@
             if self._leading:
                 self._take_report(message.report, in_answer=False)
 
-    # Outcomes to the owners.
-
-    def _tell_outcomes(self) -> None:
-        term = self._leadership.term
-        if term is None:
-            return
-        now_us = self._clock.now_us()
-        by_node: dict[str, list[Outcome]] = {}
-        for key, told in list(self._told.items()):
-            split = split_task_name(told.outcome.task)
-            job = self._board.jobs.get(split[0]) if split is not None else None
-            if split is None or job is None or job.find(split[1], key[1]) is None:
-                # The record shows it: the worker's next report gets its reap.
-                del self._told[key]
-                continue
-            if now_us - told.sent_us < _RESEND_US:
-                continue
-            told.sent_us = now_us
-            node = term.owners.get(job.spec.team)
-            if node is not None:
-                by_node.setdefault(node, []).append(told.outcome)
-        for node, outcomes in by_node.items():
-            message = Outcomes(term.term, tuple(outcomes))
-            if node == self._leadership.node:
-                self._owner.outcomes(message)
-            else:
-                self.spawn(self._send_outcomes(node, message))
-
-    async def _send_outcomes(self, node: str, message: Outcomes) -> None:
-        try:
-            await self._peers.outcomes(node, message)
-        except Exception as error:
-            # Told again until the records show them.
-            log.debug("outcomes to %s: %s", node, error)
-
     # Room and offers.
 
     def _plan(self) -> None:
@@ -553,8 +493,8 @@
         self._offers.refresh()
         self._draw()
         self._suspect()
-        self._tell_outcomes()
-        self._watch_late_starts()
+        self._telling.turn()
+        self._late_starts.turn()
         for key in [k for k in self._stops if not self._board.is_live(k)]:
             del self._stops[key]
         for job_id in [j for j in self._failed_on if j not in self._board.jobs]:
@@ -619,71 +559,12 @@
             self._pushes.probe(machine)
 
     def _suspect(self) -> None:
-        """Release machines that say nothing: the cloud's answer is the proof they are gone."""
+        """Release machines that say nothing, but not while workers look for their new leader."""
         now_us = self._clock.now_us()
-        if now_us - self._since_us < _TAKEOVER_US or not self._leadership.may_start():
+        if now_us - self._since_us < TAKEOVER_US or not self._leadership.may_start():
             return
-        # One that does not carry out what it is told is as bad as one that says nothing.
-        silences = {
-            m.name: now_us - max(self._since_us, min(m.seen_us, m.deaf_since_us or m.seen_us))
-            for m in self.book.machines.values()
-            if m.phase == "up" and not m.releasing
-        }
-        for name in list(silences):
-            machine = self.book.machines[name]
-            if taken(silences[name], machine.notice_until_us, now_us, self._patience):
-                self._release(machine, "its notice is over")
-                # Its silence says nothing of a cut.
-                del silences[name]
-        zone_of = {name: self.book.machines[name].zone for name in silences}
-        # When a cut heals, most are heard again before the last one: seen on a standard day, a
-        # third of a zone was released in that second, as if each of them had fallen silent alone.
-        quiet = self._lately(self._quiet_us, quiet_zones(silences, self._patience, zone_of))
-        unseen = set(self._controllers.values()) - self._leadership.present_in(self._controllers)
-        cut_off = self._lately(self._unseen_us, unseen)
-        for name in to_release(silences, self._patience, zone_of, quiet, cut_off):
-            machine = self.book.machines[name]
-            what = "silent" if machine.deaf_since_us is None else "does not hear"
-            self._release(machine, f"{what} for {silences[name] / SECOND_US:.1f} s")
-        for machine in list(self.book.machines.values()):
-            shape = self.book.types.get(machine.type)
-            if machine.phase == "up" or machine.releasing or shape is None:
-                continue
-            if now_us - machine.since_us < _TAKEOVER_US:
-                continue
-            if now_us - machine.rented_us > self._boot_patience * to_us(shape.boot_s):
-                self._release(machine, "never came up")
-
-    def _lately(self, seen_us: dict[str, int], zones: Iterable[str]) -> set[str]:
-        """Zones of which something is so, or was until workers can have found their way back."""
-        now_us = self._clock.now_us()
-        seen_us.update(dict.fromkeys(zones, now_us))
-        return {zone for zone, at_us in seen_us.items() if now_us - at_us < _TAKEOVER_US}
-
-    def _watch_late_starts(self) -> None:
-        """End starts on the way for withdrawn jobs, by a new term that outdates them."""
-        now_us = self._clock.now_us()
-        epoch = self._leadership.epoch()
-        late: dict[AttemptKey, int] = {}
-        for machine in self.book.machines.values():
-            if not machine.unanswered:
-                continue
-            for key in self._board.attempts_on(machine.name):
-                start = (task_name(key[0], key[1]), key[2])
-                job = self._board.jobs.get(key[0])
-                withdrawn = job is not None and not job.open
-                if withdrawn and machine.may_run_late(start, epoch) and start not in machine.tasks:
-                    late[key] = self._late_starts.get(key, now_us)
-            machine.unanswered = {
-                k: v
-                for k, v in machine.unanswered.items()
-                if v[0] >= epoch and v[1] == machine.tenure
-            }
-        self._late_starts = late
-        if any(now_us - since_us > _LATE_START_US for since_us in late.values()):
-            log.info("new term wanted: a withdrawn task's start is still on the way")
-            self._late_starts = {}
-            self._leadership.want_new_term()
+        for machine, why in self._suspects.turn(self._since_us):
+            self._release(machine, why)
 
     # The cloud.
 
@@ -736,12 +617,11 @@
     def _released(self, names: Iterable[str]) -> None:
         for name in names:
             for key in self._board.attempts_on(name):
-                outcome = Outcome(task_name(key[0], key[1]), key[2], name, "lost")
-                self._told[(outcome.task, outcome.attempt)] = _Told(outcome)
+                self._telling.proven(Outcome(task_name(key[0], key[1]), key[2], name, "lost"))
             self.book.remove(name)
             self._offers.touch(name)
             self._pushes.forget(name)
-        self._tell_outcomes()
+        self._telling.turn()
         self._poke()
 
     def _know_types(self) -> None:
--- a/tests/test_cluster.py
+++ b/tests/test_cluster.py
@@ -250,7 +250,7 @@
 
 
 def test_a_leader_that_no_worker_reaches_hands_over_before_their_leases_end(monkeypatch):
-    monkeypatch.setattr(steward, "_TAKEOVER_US", 1_000_000)
+    monkeypatch.setattr(steward, "TAKEOVER_US", 1_000_000)
 
     async def test(world, users):
         world.services.add("j-000075")
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -138,7 +138,7 @@
         machine.zone = zone
     steward._since_us = clock.us - 60 * S
     led.leadership.present = set()
-    silent_us = steward._patience.lease_us + steward._patience.silent_us + 2 * S
+    silent_us = steward._suspects.patience.lease_us + steward._suspects.patience.silent_us + 2 * S
     for _ in range(silent_us // S):
         clock.us += S
         steward._suspect()
