--- a/mosswalk/store/mirror.py
+++ b/mosswalk/store/mirror.py
@@ -48,6 +48,8 @@
         self._clock = clock
         self._rng = rng
         self._entries: dict[str, Entry] = {}
+        # Those of them that are deleted, so that no batch has to look through all keys.
+        self._deleted: set[str] = set()
         self._listeners: list[tuple[str, Listener]] = []
         self._after_batch: list[Callable[[], None]] = []
         self.revision = 0
@@ -85,6 +87,10 @@
         if entry is not None and entry.version >= version:
             return False
         self._entries[key] = Entry(version, value)
+        if value is None:
+            self._deleted.add(key)
+        else:
+            self._deleted.discard(key)
         for prefix, listener in self._listeners:
             if key.startswith(prefix):
                 try:
@@ -154,11 +160,9 @@
         self.revision = max(self.revision, events.revision)
         self.confirmed_us = started_us
         # Deletions the watch has passed can't be undone by an older event any more.
-        passed = [
-            k for k, e in self._entries.items() if e.value is None and e.version <= self.revision
-        ]
-        for key in passed:
+        for key in [k for k in self._deleted if self._entries[k].version <= self.revision]:
             del self._entries[key]
+            self._deleted.discard(key)
         self.batch_done()
 
     async def run(self) -> None:
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -142,6 +142,8 @@
     assert {k: mirror.value(k) for k in mirror.keys("m/")} == {
         k: row[0] for k, row in store.rows.items()
     }
+    # No key is remembered as deleted once the watch has passed its deletion.
+    assert not mirror._deleted and all(e.value is not None for e in mirror._entries.values())
     for versions in seen.values():
         assert versions == sorted(versions)
 
