--- a/mosswalk/fleet/pushes.py
+++ b/mosswalk/fleet/pushes.py
@@ -56,6 +56,7 @@
         # stay open: each machine holds one to us for its reports anyway.
         self._sockets = sockets
         self._kept: set[str] = set()
+        self._short = False
 
     def reset(self) -> None:
         """Forget all: another controller leads."""
@@ -93,6 +94,10 @@
         Else a fleet of many machines would take two sockets each, and users be refused.
         """
         spare = self._sockets - len(self._book.machines)
+        if spare < 0 and not self._short:
+            self._short = True
+            log.info("%d machines, but sockets for the reports of %d: raise max_connections",
+                     len(self._book.machines), self._sockets)  # fmt: skip
         if name not in self._kept and len(self._kept) < spare:
             self._kept.add(name)
         elif name in self._kept and len(self._kept) > spare:
--- a/tests/test_cluster.py
+++ b/tests/test_cluster.py
@@ -141,6 +141,29 @@
     cluster(test)
 
 
+def test_many_machines_outlast_a_restart_of_all_controllers():
+    async def test(world, users):
+        world.services.add("j-000025")
+        await users.submit(spec("j-000025", kind="daemon", tasks=48, cpus=4.0, spot=False))
+        await until(lambda: len(world.on) == 48, 20.0)
+        where = dict(world.on)
+        assert len(set(where.values())) == 48
+        for name in list(world.controllers):
+            await world.kill_controller(name)
+        for name in world.addresses:
+            await world.start_controller(name)
+        await until(lambda: world.leader() is not None)
+        steward = world.controllers[world.leader()][0].steward
+        await until(lambda: sum(m.hears for m in steward.book.machines.values()) == 48)
+        # Every one reports to the new leader, none has lost its lease, none is given up.
+        assert sum(m.hears for m in steward.book.machines.values()) == 48
+        await asyncio.sleep(LEASE_S)
+        assert world.on == where
+        assert not any(m.releasing for m in steward.book.machines.values())
+
+    cluster(test)
+
+
 def test_an_outage_of_the_state_service_is_told_at_once_and_survived():
     async def test(world, users):
         world.services.add("j-000030")
