--- a/mosswalk/fleet/offers.py
+++ b/mosswalk/fleet/offers.py
@@ -259,6 +259,10 @@
         self._drop_reservations()
         busy = {r.node for r in self._reservations}
         unplaced = self._board.unplaced
+        if not any(unplaced.values()):
+            # In calm times most plans find nothing to place: no need to look at the machines.
+            self._renting.nothing_stuck()
+            return []
         rooms = self.rooms()
         usage = self._board.usage()
         zones = self._book.zone_of()
--- a/mosswalk/fleet/renting.py
+++ b/mosswalk/fleet/renting.py
@@ -67,6 +67,11 @@
             for job in stuck
         }
 
+    def nothing_stuck(self) -> None:
+        """All that may be placed has been."""
+        self._stuck.clear()
+        self._stuck_since.clear()
+
     def waiting(self) -> list[WaitingTasks]:
         """Tasks that found no room, as far as their team's limit lets them run."""
         zones = self._book.zone_of()
--- a/mosswalk/fleet/steward.py
+++ b/mosswalk/fleet/steward.py
@@ -56,7 +56,7 @@
 
 log = logging.getLogger(__name__)
 
-_PLAN_GAP_US = 30_000
+_PLAN_GAP_US = 50_000
 # A plan is followed by a pause this many times as long, so that reports and health checks,
 # which wait for nothing else, get most of the processor's time however long plans take.
 _PLAN_REST = 4
--- a/tests/test_offers.py
+++ b/tests/test_offers.py
@@ -49,7 +49,9 @@
                                       seen_us=clock.us)  # fmt: skip
     term = TermRecord(1, "a", {"red": "a"})
     leadership = SimpleNamespace(term=term, may_start=lambda: True, node="a")
-    renting = SimpleNamespace(cordoned=set(), note_stuck=lambda queues: None)
+    renting = SimpleNamespace(
+        cordoned=set(), note_stuck=lambda queues: None, nothing_stuck=lambda: None
+    )
     offers = Counted(settings, mirror, board, book, leadership, renting, clock, {})
     return offers, mirror, board, book, clock, settings
 
@@ -72,6 +74,9 @@
     offers, mirror, board, _, clock, _ = made(tmp_path, 300)
     offers.refresh()
     offers.plan()
+    # Nothing to place: no machine is looked at.
+    assert offers.builds == 0
+    offers.rooms()
     assert offers.builds == 300
     offers.refresh()
     offers.plan()
@@ -81,6 +86,7 @@
     ((node, offer),) = offers.plan()
     assert node == "a" and len(offer.teams[0].slots) == 1 and offers.builds == 301
     place(mirror, board, 1, offer.teams[0].slots[0].machine)
+    submit(mirror, id="j-000002", tasks=1)
     offers.plan()
     assert offers.builds == 302
     # Silence takes room away by time alone.
