--- a/mosswalk/placement/owner.py
+++ b/mosswalk/placement/owner.py
@@ -60,7 +60,7 @@
         self._ops = settings.params.state.txn_ops
         self._write_rps = settings.params.state.write_rps
         # A round waits for all its changes, so it takes no more of them than can be written in a
-        # moment, the most urgent first: after a cut, replicas waited 10 s for arrays' outcomes.
+        # moment: after a cut, replicas waited 10 s for arrays' outcomes.
         self._most_settled = _LEAST_IN_ROUND
         self._urgency = Urgency(settings.params.objectives, settings.params.teams)
         self._teams = {team.name: team for team in settings.params.teams}
@@ -182,8 +182,10 @@
             if attempt is None or attempt.machine != outcome.machine:
                 continue
             by_job.setdefault(job.id, []).append((split[1], number, outcome))
-        urgent_first = sorted(by_job.items(), key=lambda item: self._board.jobs[item[0]].rank)
-        for job_id, found in urgent_first:
+        # Prod first, the others as they came: by rank, idle jobs' ends were written last of all
+        # for as long as a burst of standard work lasted.
+        prod_first = sorted(by_job.items(), key=lambda item: self._board.jobs[item[0]].rank > 0)
+        for job_id, found in prod_first:
             job = self._board.jobs[job_id]
             full = len(drafts) >= self._most_settled
             if full or self._may_wait(job, found):
