Keep workers that come back unanswered from the leader in an outage

In an outage a worker that was sent to the leader and comes back within a lease is now kept, as in a zone that is cut off and for as long.

--- a/mosswalk/fleet/steward.py
+++ b/mosswalk/fleet/steward.py
@@ -151,6 +151,10 @@
         self.visitors = Visitors(2 * SECOND_US + to_us(workers.report_s), clock)
         # Whether no leader can be reached from here, nor anybody who could name one.
         self.left_alone: Callable[[], bool] = lambda: False
+        # Whether the state service serves nobody who can be reached.
+        self.nobody_served: Callable[[], bool] = lambda: False
+        # Workers sent to the leader within a lease: one that comes back was not answered there.
+        self._sent_on = Visitors(self._lease_us, clock)
         self._keeps = False
         # Within this time a machine that is well reports, give or take what reports vary by.
         self._report_us = to_us(1.3 * workers.report_s)
@@ -261,6 +265,7 @@
             orders = kills_of_closed(report, self._board.jobs)
         else:
             self.visitors.came(report.machine)
+            self._sent_on.came(report.machine)
             message.answer.set_result(self._refusal())
             return
         body = msgspec.json.encode(ReportAnswer(self._leadership.epoch(), tuple(orders)))
@@ -269,13 +274,17 @@
     def _may_keep(self, report: Report) -> bool:
         """Whether to keep a machine's tasks alive although another controller leads.
 
-        In a zone that is cut off nobody else can. A worker that has seen a higher epoch would
-        drop our answer and stay with us until its lease ends, so it is sent on.
+        In a zone that is cut off nobody else can; and in an outage of the state service a leader
+        that the workers can't reach is not able to hand over. A worker that has seen a higher
+        epoch would drop our answer and stay with us until its lease ends, so it is sent on.
         """
-        keeps = self._leadership.may_keep() and self.left_alone()
-        if keeps != self._keeps:
-            self._keeps = keeps
-            log.info("workers are kept alive here" if keeps else "workers are kept alive no more")
+        may_keep = self.nobody_served() and self._leadership.may_keep()
+        keeps = may_keep and (self.left_alone() or self._sent_on.knows(report.machine))
+        if keeps and not self._keeps:
+            log.info("workers are kept alive here")
+        elif self._keeps and not may_keep:
+            log.info("workers are kept alive no more")
+        self._keeps = may_keep and (keeps or self._keeps)
         return keeps and report.epoch <= self._leadership.epoch()
 
     def cut_from_workers(self, elsewhere: int) -> bool:
--- a/mosswalk/fleet/visitors.py
+++ b/mosswalk/fleet/visitors.py
@@ -31,6 +31,11 @@
         self._came_us.move_to_end(machine)
         self._drop_old()
 
+    def knows(self, machine: str) -> bool:
+        """Whether a machine's worker came within the while."""
+        self._drop_old()
+        return machine in self._came_us
+
     def count(self) -> int:
         """How many came within the while."""
         self._drop_old()
--- a/mosswalk/peers/health.py
+++ b/mosswalk/peers/health.py
@@ -66,10 +66,14 @@
         So it is in a zone that is cut off, or where the leader died in an outage of the state
         service.
         """
-        if self.lost is None or self.served is not None:
+        if self.lost is None or not self.nobody_served():
             return False
         return leader is None or leader in self.lost
 
+    def nobody_served(self) -> bool:
+        """Whether the state service serves neither this controller nor any that it can reach."""
+        return self.lost is not None and self.served is None
+
     async def _ask(self, node: str) -> Sight | None:
         try:
             return await self._peers.sight(node)
--- a/mosswalk/service.py
+++ b/mosswalk/service.py
@@ -80,6 +80,7 @@
         )  # fmt: skip
         self.desk.elsewhere = self._poll_elsewhere
         self.steward.left_alone = lambda: self.health.left_alone_by(self.leadership.leader())
+        self.steward.nobody_served = self.health.nobody_served
         # Followers need not hear of each change at once: with many controllers, their watches
         # would take most of the requests that the state service allows.
         self.mirror.in_haste = lambda: self.leadership.leads() or self.leadership.owns_any()
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -169,3 +169,37 @@
     assert not steward._ready_to_rent()
     steward._typed((shape(),))
     assert steward._ready_to_rent()
+
+
+def test_in_an_outage_a_worker_that_the_leader_did_not_answer_is_kept_when_it_comes_back(led):
+    """A leader lost its workers while the state service was down: every lease ran out."""
+    steward, leadership = led.steward, led.leadership
+    steward._leading = False
+    leadership.leads, leadership.leader, leadership.may_keep = (
+        lambda: False, lambda: "b", lambda: True,
+    )  # fmt: skip
+    outage = True
+    steward.nobody_served = lambda: outage
+
+    async def run():
+        async def answer(epoch=3):
+            future = asyncio.get_running_loop().create_future()
+            told = Report("vm-000001", "1.2.3.4:5", "small", "a", 1, 9, epoch)
+            steward._report_in(ReportIn(told, future))
+            return (await future)[0]
+
+        nonlocal outage
+        assert await answer() == 421
+        assert await answer() == 200
+        led.clock.us += 4 * S
+        assert await answer() == 200
+        # It would drop our answer, and stay with us all the same.
+        leadership.outbid = lambda epoch: None
+        assert await answer(epoch=4) == 421
+        outage = False
+        assert await answer() == 421
+        outage = True
+        led.clock.us += steward._lease_us + S
+        assert await answer() == 421
+
+    asyncio.run(run())
