--- a/mosswalk/api/jobs.py
+++ b/mosswalk/api/jobs.py
@@ -26,7 +26,7 @@
 from mosswalk.store.records import FinalRecord, JobRecord
 from mosswalk.store.writer import Change, GroupWriter
 from mosswalk.wire.cloud import MachineType
-from mosswalk.wire.peers import PollAnswer
+from mosswalk.wire.peers import PollAnswer, Withdrawal
 from mosswalk.wire.users import (
     JOB_ID,
     Failure,
@@ -89,6 +89,8 @@
         self._chunk = records.chunk_size(settings.params.state.value_kb)
         # Asks another controller that the state service serves, while it does not serve this one.
         self.elsewhere: Callable[[str], Awaitable[PollAnswer | None]] | None = None
+        # Tells the other controllers of a withdrawal.
+        self.on_withdrawn: Callable[[Withdrawal], None] = lambda _: None
         self._final: OrderedDict[str, FinalRecord] = OrderedDict()
         self._types: tuple[MachineType, ...] = ()
         mirror.listen(records.TYPES_KEY, self._types_changed)
@@ -242,7 +244,7 @@
             record, version = found
             if record.phase == "withdrawn":
                 return _state(200, JobState(job_id, "withdrawn"))
-            change = withdraw_change(Job(record, version))
+            change = withdraw_change(Job(record, version), self._clock.wall_us())
             change.impatient = True
             try:
                 revision = await self._writer.commit(change)
@@ -255,6 +257,11 @@
             for key in change.deletes:
                 self._mirror.apply_read(key, None, revision)
             self._mirror.batch_done()
+            # Without a record the job was over at once.
+            left = change.puts.get(records.job_key(job_id))
+            self.on_withdrawn(
+                Withdrawal(job_id, bytes(left) if left is not None else None, revision)
+            )
             log.info("withdrawn %s", job_id)
             return _state(200, JobState(job_id, "withdrawn"))
         return self._busy("try again")
--- a/mosswalk/cloud/actor.py
+++ b/mosswalk/cloud/actor.py
@@ -54,6 +54,7 @@
     def __init__(
         self, client: CloudClient, clock: Clock, rng: random.Random, rps: float,
         tell: Callable[[CloudNews], None], entitled: Callable[[], bool],
+        may_end: Callable[[], bool],
     ) -> None:  # fmt: skip
         self._client = client
         self._clock = clock
@@ -63,7 +64,10 @@
         self._tell = tell
         # Judged right before each call that changes something.
         self._entitled = entitled
+        # The same for releases that must not wait for the state service.
+        self._may_end = may_end
         self._releases: set[str] = set()
+        self._unserved: set[str] = set()
         self._release_wake = asyncio.Event()
         self._failing_since_us: int | None = None
 
@@ -115,14 +119,22 @@
                 await asyncio.sleep(min(4.0, 0.5 * 2**attempt) * self._rng.uniform(0.7, 1.3))
         self._tell(Rented(groups, pool, machines))
 
-    def release(self, names: list[str]) -> None:
+    def release(self, names: list[str], *, served: bool = True) -> None:
         """Return machines; repeated until the cloud confirms it."""
         self._releases.update(names)
+        if not served:
+            self._unserved.update(names)
         self._release_wake.set()
 
     def forget(self) -> None:
         """Another controller leads: what is left to return is its business."""
         self._releases.clear()
+        self._unserved.clear()
+
+    def _may_release(self) -> list[str]:
+        if self._entitled():
+            return sorted(self._releases)
+        return sorted(self._releases & self._unserved) if self._may_end() else []
 
     async def run_releases(self) -> None:
         """Return machines for ever."""
@@ -132,11 +144,11 @@
             pause_s = 0.4
             while self._releases:
                 await self._turn()
-                if not self._entitled():
+                batch = tuple(self._may_release()[: wire.MAX_RELEASE])
+                if not batch:
                     # As above; if we lead on, these wait until the state service has said so.
                     await asyncio.sleep(pause_s)
                     continue
-                batch = tuple(sorted(self._releases)[: wire.MAX_RELEASE])
                 try:
                     await self._client.release(batch)
                 except CloudError as error:
@@ -146,6 +158,7 @@
                     continue
                 self._served()
                 self._releases.difference_update(batch)
+                self._unserved.difference_update(batch)
                 self._tell(Released(batch))
 
     async def refresh_list(self) -> None:
--- a/mosswalk/fleet/pushes.py
+++ b/mosswalk/fleet/pushes.py
@@ -119,9 +119,10 @@
         probe, push.probe = push.probe, False
         if (
             machine is None or machine.address is None or machine.releasing
-            or not self._leadership.may_start()
+            or not self._leadership.may_answer()
         ):  # fmt: skip
             return
+        may_start = self._leadership.may_start()
         attempts = self._board.attempts_on(name)
         kept: list[Order] = []
         for order in orders:
@@ -129,7 +130,11 @@
             key = (*split, order.attempt) if split is not None else None
             # The job may have been withdrawn, or the attempt settled, since it was queued.
             if order.op == "run" and (
-                key not in attempts
+                not may_start
+                # One copy under way is enough: an answer to the second would not tell that the
+                # first can't be carried out any more.
+                or (order.task, order.attempt) in machine.unanswered
+                or key not in attempts
                 or attempts[key].tenure != machine.tenure
                 or self._is_to_stop(machine, key)
             ):
--- a/mosswalk/fleet/steward.py
+++ b/mosswalk/fleet/steward.py
@@ -35,6 +35,7 @@
 from mosswalk.fleet.moving import Moving
 from mosswalk.fleet.offers import Offers
 from mosswalk.fleet.orders import judge, kills_of_closed
+from mosswalk.fleet.overdue import overdue_withdrawals
 from mosswalk.fleet.preempting import Preempting
 from mosswalk.fleet.pushes import Pushes
 from mosswalk.fleet.renting import Renting
@@ -69,6 +70,8 @@
 _ORPHANS_US = 60 * SECOND_US
 # How long room freed by stopping attempts is kept for those it was freed for.
 _CLAIM_US = 4 * SECOND_US
+# Machines tell a new leader by then whether withdrawn tasks are still there.
+_HEAR_US = 4 * SECOND_US
 # Those that have not found it by then are called, so many a tick, and again after as long.
 _DRAW_AFTER_US = 2 * SECOND_US
 _MOST_DRAWN = 64
@@ -159,6 +162,7 @@
         # Within this time a machine that is well reports, give or take what reports vary by.
         self._report_us = to_us(1.3 * workers.report_s)
         board.on_attempt.append(self._attempt_appeared)
+        board.on_withdrawn.append(self._withdrawn)
         mirror.after_batch(self._poke)
         leadership.on_term.append(lambda: self.tell(TermBegan()))
 
@@ -439,6 +443,19 @@
             return
         self._pushes.push(machine, Order("run", task_name(job.id, attempt.task), attempt.number))
 
+    def _withdrawn(self, job: Job) -> None:
+        """A job is withdrawn: end its tasks without waiting for the machines' next reports."""
+        if not self._leading:
+            return
+        for attempt in job.live():
+            machine = self.book.machines.get(attempt.machine)
+            if machine is None or machine.tenure != attempt.tenure or machine.releasing:
+                continue
+            name = task_name(job.id, attempt.task)
+            reported = machine.tasks.get((name, attempt.number))
+            if reported is None or reported.phase != "exited":
+                self._pushes.push(machine, Order("kill", name, attempt.number, 0.0))
+
     def _push_done(self, message: PushDone) -> None:
         self._pushes.ended(message.machine)
         machine = self.book.machines.get(message.machine)
@@ -501,6 +518,7 @@
                 self._rumour(machine)
         self._offers.refresh()
         self._draw()
+        self._end_withdrawn()
         self._suspect()
         self._telling.turn()
         self._late_starts.turn()
@@ -575,6 +593,19 @@
         for machine, why in self._suspects.turn(self._since_us):
             self._release(machine, why)
 
+    def _end_withdrawn(self) -> None:
+        """Release machines that withdrawn tasks can't be shown to have left in time.
+
+        Also without the state service, while we may answer: a machine that hangs past the end of
+        its lease keeps its tasks, and this alone ends them.
+        """
+        if self._clock.now_us() - self._since_us < _HEAR_US:
+            return
+        for machine, why in overdue_withdrawals(
+            self.book, self._board, self._clock, self._suspects.patience, self._leadership.epoch()
+        ):
+            self._release(machine, why, served=False)
+
     # The cloud.
 
     def _list_came(self, message: Listed) -> None:
@@ -607,13 +638,16 @@
             if machine.address is None:
                 machine.address = row.address
 
-    def _release(self, machine: Machine, why: str) -> None:
+    def _release(self, machine: Machine, why: str, *, served: bool = True) -> None:
+        """Return a machine; where not ``served``, though the state service is not heard."""
         if machine.releasing is None:
             log.info("releasing %s (%s, %s): %s", machine.name, machine.type, machine.zone, why)
             machine.releasing = why
             self._offers.touch(machine.name)
-            if self.cloud is not None:
-                self.cloud.release([machine.name])
+        elif served:
+            return
+        if self.cloud is not None:
+            self.cloud.release([machine.name], served=served)
 
     def _give_back(self, back: GiveBack) -> None:
         machine = self.book.machines.get(back.machine)
@@ -668,12 +702,16 @@
 
     async def _clear_orphans(self) -> None:
         """Remove chunks of jobs that are over; their removal is not part of the job's end."""
-        keys = self._board.orphans()
+        orphans = self._board.orphans()
         ops = self._settings.params.state.txn_ops
-        for start in range(0, len(keys), ops):
+        for start in range(0, len(orphans), ops):
+            some = orphans[start : start + ops]
+            # When all keys are read anew, a new job's chunks may be seen before its header: only
+            # the state service knows that there is none.
             guards = {records.TERM_KEY: self._leadership.term_version}
+            guards.update((records.job_key(job_id), 0) for job_id, _ in some)
             try:
-                await self._writer.commit(Change(guards, {}, tuple(keys[start : start + ops])))
+                await self._writer.commit(Change(guards, {}, tuple(key for _, key in some)))
             except (ConflictError, RefusedError, UnknownOutcomeError) as error:
                 log.info("orphans not removed: %s", error)
                 return
--- a/mosswalk/jobs/board.py
+++ b/mosswalk/jobs/board.py
@@ -32,6 +32,8 @@
         self._indexed: dict[tuple[str, int], tuple[Attempt, ...]] = {}
         # Called with (machine, job, attempt) when an attempt appears.
         self.on_attempt: list[Callable[[str, Job, Attempt], None]] = []
+        # Called with a job that was open and is withdrawn now.
+        self.on_withdrawn: list[Callable[[Job], None]] = []
         # Called with a machine's name when what is placed on it has changed.
         self.on_machine: list[Callable[[str], None]] = []
         mirror.listen(records.JOB_PREFIX, self._job_changed)
@@ -105,7 +107,8 @@
             return
         job = Job(record, version)
         fresh: list[Attempt] = []
-        known = job_id in self.jobs
+        before = self.jobs.get(job_id)
+        known = before is not None
         for number, tasks in self._chunks.get(job_id, {}).items():
             job.chunks[number] = tasks
             if not known:
@@ -114,6 +117,9 @@
                 fresh += self._index(job_id, number, tasks.live)
         self._replace(job_id, job)
         self._announce(job, [*self._index(job_id, 0, record.tasks.live), *fresh])
+        if before is not None and before.open and not job.open:
+            for action in self.on_withdrawn:
+                action(job)
 
     def _chunk_changed(self, key: str, value: bytes | None, _version: int) -> None:
         job_id, _, text = key.removeprefix(records.CHUNK_PREFIX).partition("/")
@@ -134,10 +140,10 @@
             job.chunks[number] = tasks
             self._announce(job, self._index(job_id, number, tasks.live))
 
-    def orphans(self) -> list[str]:
-        """Chunks whose job is over."""
+    def orphans(self) -> list[tuple[str, str]]:
+        """Jobs that are over, each with a chunk of it that is left."""
         return [
-            records.chunk_key(job_id, number)
+            (job_id, records.chunk_key(job_id, number))
             for job_id, chunks in self._chunks.items()
             if job_id not in self.jobs
             for number in chunks
--- a/mosswalk/jobs/state.py
+++ b/mosswalk/jobs/state.py
@@ -244,9 +244,9 @@
     return JobRecord(spec, submitted_us, chunk)
 
 
-def withdraw_change(job: Job) -> Change:
-    """The commit by which a job is cancelled."""
-    record = structs.replace(job.record, phase="withdrawn")
+def withdraw_change(job: Job, now_us: int) -> Change:
+    """The commit by which a job is cancelled, at this time of day."""
+    record = structs.replace(job.record, phase="withdrawn", withdrawn_us=now_us)
     key = records.job_key(job.id)
     if record.live_count == 0:
         final_key = records.final_key(job.id)
--- a/mosswalk/peers/__init__.py
+++ b/mosswalk/peers/__init__.py
@@ -12,7 +12,14 @@
 from aiohttp import web
 
 from mosswalk.config import Settings
-from mosswalk.wire.peers import Offer, OfferAnswer, Outcomes, PollAnswer, Sight
+from mosswalk.wire.peers import (
+    Offer,
+    OfferAnswer,
+    Outcomes,
+    PollAnswer,
+    Sight,
+    Withdrawals,
+)
 
 log = logging.getLogger(__name__)
 
@@ -72,12 +79,17 @@
         """Tell the owner what became of attempts."""
         await self._post(node, "/outcomes", message, 2.0)
 
+    async def withdrawn(self, node: str, message: Withdrawals) -> None:
+        """Tell another controller of withdrawals before its watch does."""
+        await self._post(node, "/withdrawn", message, 1.0)
+
 
 def peer_app(
     on_offer: Callable[[Offer], Awaitable[OfferAnswer]],
     on_outcomes: Callable[[Outcomes], None],
     sees: Callable[[], Sight],
     on_poll: Callable[[str], Awaitable[PollAnswer]],
+    on_withdrawn: Callable[[Withdrawals], None],
 ) -> web.Application:
     """The port that other controllers speak to."""
 
@@ -102,6 +114,10 @@
         on_outcomes(await decoded(request, Outcomes))
         return web.Response()
 
+    async def withdrawn(request: web.Request) -> web.Response:
+        on_withdrawn(await decoded(request, Withdrawals))
+        return web.Response()
+
     async def sight(_request: web.Request) -> web.Response:
         return web.Response(body=msgspec.msgpack.encode(sees()))
 
@@ -111,6 +127,7 @@
     app = web.Application(client_max_size=4 * 1024 * 1024)
     app.router.add_post("/offer", offer)
     app.router.add_post("/outcomes", outcomes)
+    app.router.add_post("/withdrawn", withdrawn)
     app.router.add_post("/sight", sight)
     app.router.add_post("/poll", poll)
     return app
--- a/mosswalk/service.py
+++ b/mosswalk/service.py
@@ -11,7 +11,7 @@
 import aiohttp
 from aiohttp import web
 
-from mosswalk.actors import Clock, SystemClock, keep
+from mosswalk.actors import Clock, SystemClock, keep, to_us
 from mosswalk.api import users_app
 from mosswalk.api.jobs import JobDesk
 from mosswalk.cloud.actor import CloudCaller
@@ -24,11 +24,13 @@
 from mosswalk.metrics import Metrics
 from mosswalk.peers import PeerClient, PeerError, peer_app
 from mosswalk.peers.health import Health
+from mosswalk.peers.news import WithdrawalNews
 from mosswalk.placement.owner import Owner
+from mosswalk.store import records
 from mosswalk.store.client import StateClient
 from mosswalk.store.mirror import Mirror
 from mosswalk.store.writer import GroupWriter
-from mosswalk.wire.peers import PollAnswer, Sight
+from mosswalk.wire.peers import PollAnswer, Sight, Withdrawals
 
 log = logging.getLogger(__name__)
 
@@ -69,7 +71,7 @@
         )  # fmt: skip
         self.cloud = CloudCaller(
             CloudClient(session, settings.outside.cloud), clock, rng, params.cloud.rps,
-            self.steward.tell, self.leadership.may_start,
+            self.steward.tell, self.leadership.may_start, self.leadership.may_answer,
         )  # fmt: skip
         self.steward.cloud = self.cloud
         self.desk = JobDesk(settings, self.client, self.mirror, self.users_writer, clock, rng)
@@ -79,6 +81,11 @@
             self.leadership.note_unreachable, self._visitors_elsewhere,
         )  # fmt: skip
         self.desk.elsewhere = self._poll_elsewhere
+        self.news = WithdrawalNews(
+            [peer.host_name for peer in settings.known], self.peers,
+            to_us(params.workers.cancel_s), clock, rng,
+        )  # fmt: skip
+        self.desk.on_withdrawn = self.news.tell
         self.steward.left_alone = lambda: self.health.left_alone_by(self.leadership.leader())
         self.steward.nobody_served = self.health.nobody_served
         # Followers need not hear of each change at once: with many controllers, their watches
@@ -93,6 +100,16 @@
     def _sees(self) -> Sight:
         return Sight(self.health.fresh(), self.steward.visitors.count())
 
+    def withdrawn_elsewhere(self, message: Withdrawals) -> None:
+        """Another controller has told users of withdrawals: put them into the mirror.
+
+        What they bring is committed, so the watch will show the same or something newer.
+        """
+        for withdrawal in message.withdrawals:
+            key = records.job_key(withdrawal.job)
+            self.mirror.apply_read(key, withdrawal.record, withdrawal.revision)
+        self.mirror.batch_done()
+
     def _visitors_elsewhere(self, count: int) -> None:
         if self.steward.cut_from_workers(count):
             self.leadership.hand_over()
@@ -111,8 +128,9 @@
         """The applications for users and workers, and for other controllers."""
         users = users_app(self.desk, self.steward.report, self.healthy, self.metrics.render)
         return users, peer_app(
-            self.owner.offer, self.owner.outcomes, self._sees, self.desk.poll_for_other
-        )
+            self.owner.offer, self.owner.outcomes, self._sees, self.desk.poll_for_other,
+            self.withdrawn_elsewhere,
+        )  # fmt: skip
 
     def work(self) -> list[Coroutine[Any, Any, None]]:
         """All that runs for ever.
@@ -129,6 +147,7 @@
             self.steward.ticker,
             self.cloud.run_releases,
             self.health.run,
+            self.news.run,
         )
         return [self.writer.run(), self.users_writer.run(), *(keep(loop) for loop in kept)]
 
--- a/mosswalk/store/records.py
+++ b/mosswalk/store/records.py
@@ -86,6 +86,8 @@
     next_attempt: int = field(name="n", default=1)
     done_count: int = field(name="k", default=0)
     live_count: int = field(name="r", default=0)
+    # When it was withdrawn, by the time of day of the controller that did it.
+    withdrawn_us: int = field(name="w", default=0)
     tasks: TaskChunk = field(name="x", default=TaskChunk())
 
 
--- a/mosswalk/wire/peers.py
+++ b/mosswalk/wire/peers.py
@@ -73,6 +73,23 @@
     visitors: int = 0
 
 
+class Withdrawal(Struct, frozen=True):
+    """To all: a job was withdrawn by the commit with this revision.
+
+    It brings what the watch will show: the job's record, or None if the job was over with it.
+    """
+
+    job: str
+    record: bytes | None
+    revision: int
+
+
+class Withdrawals(Struct, frozen=True):
+    """Withdrawals that another controller has told users of."""
+
+    withdrawals: tuple[Withdrawal, ...]
+
+
 class PollAnswer(Struct, frozen=True):
     """What the state service told another controller about a job, as a user is answered."""
 
--- /dev/null
+++ b/tests/days.py
@@ -0,0 +1,338 @@
+"""Days in the region of ``region.py``: a workload, troubles at their times, and what is checked."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Coroutine
+from dataclasses import dataclass
+from typing import Any
+
+from tests.region import CANCEL_S, Region
+from tests.standins import spec
+from tests.virtual import play
+
+# Jobs are submitted from here on, about one every two seconds.
+FIRST_S = 4.0
+# What must have happened once all troubles are over.
+ANSWER_S = 75.0
+WAIT_S = 90.0
+
+
+@dataclass(frozen=True)
+class Trouble:
+    """One trouble: when, what, for how long, and a number to choose whom it meets."""
+
+    at_s: float
+    kind: str
+    for_s: float = 10.0
+    pick: int = 0
+
+
+def _someone(region: Region, pick: int) -> str:
+    """The leader mostly, else a controller."""
+    return (region.leader() if pick % 3 else None) or region.names[pick % len(region.names)]
+
+
+async def _state_outage(region: Region, trouble: Trouble) -> None:
+    region.state.begin_outage()
+    await asyncio.sleep(trouble.for_s)
+    region.state.end_outage()
+
+
+async def _state_slow(region: Region, trouble: Trouble) -> None:
+    region.network.slow["state"] = 0.4
+    await asyncio.sleep(trouble.for_s)
+    region.network.slow.pop("state", None)
+
+
+async def _refused(region: Region, trouble: Trouble) -> None:
+    """The state service refuses one controller alone."""
+    name = _someone(region, trouble.pick)
+    region.state.refused.add(name)
+    await asyncio.sleep(trouble.for_s)
+    region.state.refused.discard(name)
+
+
+async def _apart(region: Region, trouble: Trouble) -> None:
+    """A controller loses the state service and the others, not its workers or users."""
+    name = _someone(region, trouble.pick)
+    pairs = {(name, o) for o in region.names if o != name}
+    pairs |= {(o, name) for _, o in pairs}
+    region.state.refused.add(name)
+    region.network.refuses |= pairs
+    await asyncio.sleep(trouble.for_s)
+    region.network.refuses -= pairs
+    region.state.refused.discard(name)
+
+
+async def _hold(region: Region, trouble: Trouble, pairs: set[tuple[str, str]]) -> None:
+    healed = asyncio.Event()
+    fresh = pairs - region.network.holds.keys()
+    region.network.holds.update(dict.fromkeys(fresh, healed))
+    await asyncio.sleep(trouble.for_s)
+    for pair in fresh:
+        region.network.holds.pop(pair, None)
+    healed.set()
+
+
+async def _zone_cut(region: Region, trouble: Trouble) -> None:
+    """A zone with its workers and its controllers; all between it and the rest is held back."""
+    zone = "ab"[trouble.pick % 2]
+    inside = {n for n in region.names if region.settings(n).zone == zone}
+    inside |= {n for n, w in region.workers.items() if w.zone == zone}
+    outside = {"state", "cloud", *region.names, *region.workers} - inside
+    pairs = {(i, o) for i in inside for o in outside if o != "cloud"}
+    await _hold(region, trouble, pairs | {(o, i) for i, o in pairs})
+
+
+async def _machines_cut(region: Region, trouble: Trouble) -> None:
+    names = sorted(region.workers)[trouble.pick % 2 :: 2]
+    pairs = {(n, c) for n in names for c in region.names}
+    await _hold(region, trouble, pairs | {(c, n) for n, c in pairs})
+
+
+async def _leader_without_workers(region: Region, trouble: Trouble) -> None:
+    name = _someone(region, trouble.pick)
+    pairs = {(name, w) for w in region.workers} | {(w, name) for w in region.workers}
+    region.network.refuses |= pairs
+    await asyncio.sleep(trouble.for_s)
+    region.network.refuses -= pairs
+
+
+async def _crash(region: Region, trouble: Trouble) -> None:
+    name = _someone(region, trouble.pick)
+    if name in region.controllers:
+        region.kill_controller(name)
+        await asyncio.sleep(0.2 if trouble.pick % 2 else min(trouble.for_s, 4.0))
+        region.start_controller(name)
+
+
+async def _crash_all(region: Region, trouble: Trouble) -> None:
+    for name in list(region.controllers):
+        region.kill_controller(name)
+    await asyncio.sleep(trouble.for_s)
+    for name in region.names:
+        if name not in region.controllers:
+            region.start_controller(name)
+            await asyncio.sleep(0.3 * (trouble.pick % 3))
+
+
+async def _leaders_change(region: Region, trouble: Trouble) -> None:
+    """Leader after leader ends and is back within a fraction of a second."""
+    until = region.now() + trouble.for_s
+    while region.now() < until:
+        name = region.leader()
+        if name is not None:
+            region.kill_controller(name)
+            await asyncio.sleep(0.3)
+            region.start_controller(name)
+        await asyncio.sleep(6.0)
+
+
+def _few(region: Region, pick: int) -> list[str]:
+    busy = sorted({worker.name for worker in region.on.values()}) or sorted(region.workers)
+    return busy[pick % 2 :: 2][:8]
+
+
+async def _hang(region: Region, trouble: Trouble, names: list[str] | None = None) -> None:
+    names = _few(region, trouble.pick) if names is None else names
+    fresh = [n for n in names if n not in region.network.hangs]
+    awake = asyncio.Event()
+    region.network.hangs.update(dict.fromkeys(fresh, awake))
+    await asyncio.sleep(trouble.for_s)
+    for name in fresh:
+        region.network.hangs.pop(name, None)
+    awake.set()
+
+
+async def _flag(region: Region, trouble: Trouble, flag: str) -> None:
+    workers = [region.workers[n] for n in _few(region, trouble.pick)]
+    for worker in workers:
+        setattr(worker, flag, True)
+    await asyncio.sleep(trouble.for_s)
+    for worker in workers:
+        setattr(worker, flag, False)
+
+
+async def _deaf(region: Region, trouble: Trouble) -> None:
+    await _flag(region, trouble, "deaf")
+
+
+async def _mute(region: Region, trouble: Trouble) -> None:
+    await _flag(region, trouble, "mute")
+
+
+async def _all_mute(region: Region, trouble: Trouble) -> None:
+    """No worker can open a connection to any controller, while direct commands reach them."""
+    workers = list(region.workers.values())
+    for worker in workers:
+        worker.mute = True
+    await asyncio.sleep(trouble.for_s)
+    for worker in workers:
+        worker.mute = False
+
+
+async def _slow_links(region: Region, trouble: Trouble) -> None:
+    names = [*region.names, *region.workers]
+    region.network.slow.update(dict.fromkeys(names, 0.15))
+    await asyncio.sleep(trouble.for_s)
+    for name in names:
+        region.network.slow.pop(name, None)
+
+
+async def _die(region: Region, trouble: Trouble) -> None:
+    for name in _few(region, trouble.pick)[:3]:
+        region.workers.pop(name).destroy()
+
+
+async def _late_writes(region: Region, trouble: Trouble) -> None:
+    region.state.late_share = 0.3
+    await asyncio.sleep(trouble.for_s)
+    region.state.late_share = 0.0
+
+
+async def _late_reports(region: Region, trouble: Trouble) -> None:
+    region.late_reports = 0.3
+    await asyncio.sleep(trouble.for_s)
+    region.late_reports = 0.0
+
+
+async def _cloud_outage(region: Region, trouble: Trouble) -> None:
+    region.cloud_down = True
+    await asyncio.sleep(trouble.for_s)
+    region.cloud_down = False
+
+
+async def _cancel(region: Region, trouble: Trouble) -> None:
+    """Users call off jobs that run, through any controller that confirms it."""
+    running = sorted({task.partition("/")[0] for task in region.on} - region.asked_to_cancel)
+    for job_id in running[:4]:
+        region.network.spawn(region.withdraw(job_id))
+
+
+async def _cancel_and_hang(region: Region, trouble: Trouble) -> None:
+    await _cancel(region, trouble)
+    await asyncio.sleep(0.1 * (trouble.pick % 3))
+    await _hang(region, trouble)
+
+
+async def _cancel_at_end(region: Region, trouble: Trouble) -> None:
+    """Jobs are called off, asked after and sent again just as their last task ends."""
+    until = region.now() + trouble.for_s
+    met: set[str] = set()
+    while region.now() < until:
+        await asyncio.sleep(0.05)
+        for job_id in sorted(region.accepted - met):
+            tasks = {f"{job_id}/{i}" for i in range(region.specs[job_id].tasks)}
+            if tasks <= region.done_tasks:
+                met.add(job_id)
+                if job_id not in region.asked_to_cancel:
+                    region.network.spawn(region.withdraw(job_id))
+                region.network.spawn(region.poll(job_id))
+                region.network.spawn(region.submit(region.specs[job_id], 10.0))
+
+
+async def _odd_requests(region: Region, trouble: Trouble) -> None:
+    until = region.now() + trouble.for_s
+    while region.now() < until:
+        await asyncio.sleep(1.0)
+        for job_id in sorted(region.accepted)[-3:]:
+            region.network.spawn(region.submit(region.specs[job_id], 10.0))
+        for odd in (spec("j-900001", cpus=64.0), spec("j-900002", team="red", cpus=30.0)):
+            if await region.submit(odd, 1.0):
+                region.note("invented", f"{odd.id} accepted")
+        status, _ = await region.ask("POST", "/api/jobs", b'{"ref":"j-900003","pieces":1}')
+        if status in (200, 201):
+            region.note("invented", "j-900003 accepted")
+        status, _ = await region.ask("POST", "/api/jobs/j-900004/withdraw")
+        if status == 200:
+            region.note("invented", "j-900004 withdrawn")
+
+
+TROUBLES: dict[str, Callable[[Region, Trouble], Coroutine[Any, Any, None]]] = {
+    "all_mute": _all_mute,
+    "apart": _apart,
+    "cancel": _cancel,
+    "cancel_and_hang": _cancel_and_hang,
+    "cancel_at_end": _cancel_at_end,
+    "cloud_outage": _cloud_outage,
+    "crash": _crash,
+    "crash_all": _crash_all,
+    "deaf": _deaf,
+    "die": _die,
+    "hang": _hang,
+    "late_reports": _late_reports,
+    "late_writes": _late_writes,
+    "leader_without_workers": _leader_without_workers,
+    "leaders_change": _leaders_change,
+    "machines_cut": _machines_cut,
+    "mute": _mute,
+    "odd_requests": _odd_requests,
+    "refused": _refused,
+    "slow_links": _slow_links,
+    "state_outage": _state_outage,
+    "state_slow": _state_slow,
+    "zone_cut": _zone_cut,
+}
+
+
+def _jobs(region: Region, count: int) -> list[tuple[Any, float]]:
+    rng = region.rng
+    jobs = []
+    for i in range(count):
+        kind = rng.choice(["array", "array", "array", "daemon"])
+        changes = {
+            "team": rng.choice(["red", "blue"]),
+            "tasks": rng.randint(1, 4) if kind == "daemon" else rng.choice([1, 2, 3, 6, 12]),
+            "cpus": rng.choice([1.0, 2.0]), "spot": rng.random() < 0.6, "kind": kind,
+            "one_zone": rng.random() < 0.35,
+            "image": rng.choice(["img", "img2"]),
+            "priority": "prod" if kind == "daemon" else rng.choice(["standard", "idle"]),
+        }  # fmt: skip
+        if kind == "daemon" and not changes["one_zone"]:
+            changes["spread"] = True
+        run_s = 1e9 if kind == "daemon" else rng.choice([5.0, 20.0, 60.0, 90.0])
+        jobs.append((spec(f"j-{i:06d}", **changes), run_s))
+    return jobs
+
+
+async def _day(seed: int, troubles: list[Trouble], jobs: int, out: list[Region]) -> None:
+    region = Region(seed)
+    out.append(region)
+    region.start()
+    await asyncio.sleep(FIRST_S)
+
+    async def work() -> None:
+        for job, run_s in _jobs(region, jobs):
+            if await region.submit(job, run_s):
+                region.network.spawn(region.follow(job.id))
+            await asyncio.sleep(region.rng.uniform(0.5, 4.0))
+
+    async def trouble(one: Trouble) -> None:
+        await asyncio.sleep(max(0.0, one.at_s - region.now()))
+        await TROUBLES[one.kind](region, one)
+
+    await asyncio.gather(work(), *(trouble(one) for one in troubles))
+    over = region.now()
+    # Every job that nobody has called off is answered for, and ends or runs.
+    unheard = dict.fromkeys(region.accepted, over)
+    while region.now() < over + max(ANSWER_S, WAIT_S, CANCEL_S) + 5.0:
+        await asyncio.sleep(5.0)
+        for job_id in sorted(region.accepted):
+            if await region.poll(job_id) is not None:
+                unheard[job_id] = region.now()
+            elif region.now() - unheard[job_id] > ANSWER_S:
+                region.note("forgotten", f"{job_id}: no answer")
+    for job_id in sorted(region.accepted):
+        job = region.specs[job_id]
+        phase, since = region.told[job_id]
+        since = max(since, region.at_limit.get((job.team, job.cpus), 0.0))
+        if phase == "pending" and region.now() - since > WAIT_S:
+            region.note("waits", f"{job_id} of {job.team}, {job.tasks} tasks")
+
+
+def play_day(seed: int, troubles: list[Trouble], jobs: int = 14) -> Region:
+    """Play a day; the region with what was broken and counted."""
+    out: list[Region] = []
+    play(_day(seed, troubles, jobs, out))
+    return out[0]
--- /dev/null
+++ b/tests/region.py
@@ -0,0 +1,610 @@
+"""A region in virtual time: state service, cloud, workers and users around real controllers.
+
+Each outside part follows its published protocol, troubles included; what the rules forbid is
+noted in ``broken`` as it happens.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+from collections import Counter
+from urllib.parse import parse_qs, urlsplit
+
+import aiohttp
+import msgspec
+
+from mosswalk.config import (
+    CloudLimits,
+    MachineLimits,
+    Outside,
+    Params,
+    Peer,
+    Settings,
+    StateLimits,
+    Team,
+    WorkerLimits,
+)
+from mosswalk.config.operator import Tuning
+from mosswalk.service import Controller
+from mosswalk.store.client import ConflictError, NoLeaseError
+from mosswalk.wire import state as wire
+from mosswalk.wire.peers import Offer, Outcomes, Withdrawals
+from mosswalk.wire.users import JobSpec
+from mosswalk.wire.workers import Report
+from tests.standins import Store, shape
+from tests.virtual import Network, Session, VirtualClock
+
+REPORT_S = 1.5
+LEASE_S = 12.0
+CANCEL_S = 42.0
+TICK_S = 0.25
+
+
+class StateService:
+    """The store with its leases; may be down, refuse some, be slow, or carry writes out late."""
+
+    def __init__(self, region: Region) -> None:
+        self.region = region
+        self.store = Store()
+        self.leases: dict[int, tuple[float, float]] = {}
+        self._up = asyncio.Event()
+        self._up.set()
+        self.refused: set[str] = set()
+        self.late_share = 0.0
+        self._changed = asyncio.Event()
+
+    async def serve(self, method: str, path: str, body: bytes, sender: str) -> tuple[int, bytes]:
+        url = urlsplit(path)
+        query = {k: v[0] for k, v in parse_qs(url.query).items()}
+        if url.path == "/follow":
+            return await self._follow(query, sender)
+        if self.down or sender in self.refused:
+            return 503, b"{}"
+        if url.path == "/commit":
+            return await self._commit(body)
+        if url.path == "/holds":
+            ttl = json.loads(body)["ttl_ms"] / 1000
+            lease = self.store.grant()
+            self.leases[lease] = (self.region.now() + ttl, ttl)
+            return 200, json.dumps({"hold": lease}).encode()
+        if url.path.startswith("/holds/"):
+            lease = int(url.path.split("/")[2])
+            if lease not in self.leases:
+                return 404, b"{}"
+            ttl = self.leases[lease][1]
+            self.leases[lease] = (self.region.now() + ttl, ttl)
+            return 200, b"{}"
+        if url.path == "/store":
+            return 200, self._range(query)
+        return self._get(url.path.removeprefix("/store/"))
+
+    def _row(self, key: str) -> dict:
+        value, version, _ = self.store.rows[key]
+        return {"path": key, "v": msgspec.Raw(value), "stamp": version}
+
+    def _get(self, key: str) -> tuple[int, bytes]:
+        if key not in self.store.rows:
+            return 404, json.dumps({"ledger": self.store.revision}).encode()
+        return 200, msgspec.json.encode(self._row(key))
+
+    def _range(self, query: dict[str, str]) -> bytes:
+        after, limit = query.get("after", ""), int(query["limit"])
+        keys = sorted(k for k in self.store.rows if k.startswith(query["starts"]) and k > after)
+        return msgspec.json.encode(
+            {"rows": [self._row(k) for k in keys[:limit]], "truncated": len(keys) > limit,
+             "ledger": self.store.revision}
+        )  # fmt: skip
+
+    async def _commit(self, body: bytes) -> tuple[int, bytes]:
+        transaction = msgspec.json.decode(body, type=wire.Transaction)
+        if self.region.rng.random() < self.late_share:
+            self.region.network.spawn(self._commit_late(transaction))
+            await asyncio.sleep(60.0)
+        return self._apply(transaction)
+
+    async def _commit_late(self, transaction: wire.Transaction) -> None:
+        await asyncio.sleep(self.region.rng.uniform(2.0, 12.0))
+        await self._up.wait()
+        self._apply(transaction)
+
+    def _apply(self, transaction: wire.Transaction) -> tuple[int, bytes]:
+        try:
+            revision = self.store.commit(transaction)
+        except ConflictError as error:
+            body = {"failed": error.failed, "ledger": self.store.revision}
+            return 409, json.dumps(body).encode()
+        except NoLeaseError:
+            return 400, b'{"error":"no such lease"}'
+        self._notify()
+        return 200, json.dumps({"ledger": revision}).encode()
+
+    def _notify(self) -> None:
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    async def _follow(self, query: dict[str, str], sender: str) -> tuple[int, bytes]:
+        if self.down or sender in self.refused:
+            return 503, b"{}"
+        after, prefix = int(query["after"]), query["starts"]
+        until = self.region.now() + int(query.get("hold_ms", 0)) / 1000
+        while True:
+            changed = self._changed
+            if not self.down and sender not in self.refused:
+                events = [
+                    e for e in self.store.events[-2000:]
+                    if e["stamp"] > after and (e.get("write") or e["delete"]).startswith(prefix)
+                ]  # fmt: skip
+                if events or self.region.now() >= until:
+                    body = {"ledger": self.store.revision, "events": events}
+                    return 200, json.dumps(body).encode()
+                wait_s = until - self.region.now()
+            else:
+                wait_s = 0.1
+            try:
+                async with asyncio.timeout(wait_s):
+                    await changed.wait()
+            except TimeoutError:
+                pass
+
+    @property
+    def down(self) -> bool:
+        return not self._up.is_set()
+
+    def begin_outage(self) -> None:
+        self._up.clear()
+
+    def end_outage(self) -> None:
+        self._up.set()
+        for lease, (_, ttl) in self.leases.items():
+            self.leases[lease] = (self.region.now() + ttl, ttl)
+
+    def tick(self) -> None:
+        if self.down:
+            return
+        for lease, (until, _) in list(self.leases.items()):
+            if self.region.now() > until:
+                del self.leases[lease]
+                self.store.end_lease(lease)
+                self._notify()
+
+
+class Worker:
+    """One machine: boots, reports, fetches images, runs tasks, keeps its lease."""
+
+    def __init__(self, region: Region, name: str, kind: str, zone: str, spot: bool) -> None:
+        self.region, self.name = region, name
+        self.kind, self.zone, self.spot = kind, zone, spot
+        self.address = f"{name}:9000"
+        self.tenure, self.tick, self.epoch = 1, 0, 0
+        # phase, cause, and when the phase ends
+        self.tasks: dict[tuple[str, int], dict] = {}
+        self.images: set[str] = set()
+        self.target = region.rng.randrange(len(region.names))
+        self.answered = 0.0
+        self.up = self.gone = self.deaf = self.mute = False
+        self.kept: list[bytes] = []
+        self._changed = asyncio.Event()
+        self._began = region.now()
+
+    def report(self) -> bytes:
+        self.tick += 1
+        rows = [
+            {"piece": p, "try": t, "phase": row["phase"], "cause": row.get("cause")}
+            for (p, t), row in self.tasks.items()
+        ]
+        body = {
+            "host": self.name, "addr": self.address, "build": self.kind, "yard": self.zone,
+            "reclaimable": self.spot, "tenure": self.tenure, "tick": self.tick,
+            "epoch": self.epoch, "warning_s": None, "pieces": rows,
+        }  # fmt: skip
+        return json.dumps(body).encode()
+
+    def see_epoch(self, epoch: int) -> None:
+        if epoch > self.epoch:
+            self.epoch = epoch
+            self._changed.set()
+
+    def carry_out(self, orders: list[dict]) -> None:
+        for order in orders:
+            key = (order["piece"], order["try"])
+            row = self.tasks.get(key)
+            if order["verb"] == "run" and row is None:
+                self._start(key)
+            elif order["verb"] == "kill" and row is not None:
+                self.exit(key, "stopped")
+            elif order["verb"] == "reap" and row is not None and row["phase"] == "exited":
+                del self.tasks[key]
+
+    def _start(self, key: tuple[str, int]) -> None:
+        spec = self.region.spec_of(key[0])
+        self._changed.set()
+        if spec is None:
+            self.tasks[key] = {"phase": "exited", "cause": "no_such"}
+        elif any(p == key[0] and r["phase"] != "exited" for (p, _), r in self.tasks.items()):
+            self.tasks[key] = {"phase": "exited", "cause": "in_use"}
+        else:
+            fetch_s = 0.0 if spec.image in self.images else self.region.rng.uniform(0.5, 3.0)
+            self.tasks[key] = {"phase": "pulling", "until": self.region.now() + fetch_s}
+
+    def exit(self, key: tuple[str, int], cause: str) -> None:
+        row = self.tasks.get(key)
+        if row is None or row["phase"] == "exited":
+            return
+        if row["phase"] == "running":
+            self.region.ended(self, key[0], cause)
+        self.tasks[key] = {"phase": "exited", "cause": cause}
+        self._changed.set()
+
+    async def serve(self, method: str, path: str, body: bytes, sender: str) -> tuple[int, bytes]:
+        if self.deaf or not self.up:
+            await asyncio.sleep(60.0)
+        message = json.loads(body)
+        if message["epoch"] < self.epoch or message["tenure"] != self.tenure:
+            return 409, self.report()
+        self.see_epoch(message["epoch"])
+        self.carry_out(message["orders"])
+        return 200, self.report()
+
+    def advance(self) -> None:
+        """What happens by itself: nothing while it hangs."""
+        now = self.region.now()
+        if not self.up or self.gone or self.name in self.region.network.hangs:
+            return
+        if now - self.answered > LEASE_S:
+            for key in list(self.tasks):
+                self.exit(key, "lease")
+            self.tasks.clear()
+            self.tenure += 1
+            self.answered = now
+            self._changed.set()
+        for key, row in list(self.tasks.items()):
+            if row["phase"] == "pulling" and now >= row["until"]:
+                spec = self.region.spec_of(key[0])
+                self.images.add(spec.image)
+                row["phase"] = "running"
+                row["until"] = now + self.region.run_s(key[0])
+                self._changed.set()
+                self.region.started(self, key[0])
+            if row["phase"] == "running" and now >= row["until"]:
+                self.exit(key, "done")
+
+    def destroy(self) -> None:
+        for key in list(self.tasks):
+            self.exit(key, "gone")
+        self.gone = True
+        self.region.network.hosts.pop(self.address, None)
+
+    async def run(self, boot_s: float) -> None:
+        await asyncio.sleep(boot_s)
+        self.up = True
+        self.answered = self.region.now()
+        while not self.gone:
+            await self.region.network.awake(self.name)
+            if self.gone:
+                return
+            self.advance()
+            pause_s = await self._once()
+            self._changed.clear()
+            await asyncio.sleep(0.5)
+            try:
+                async with asyncio.timeout(pause_s):
+                    await self._changed.wait()
+            except TimeoutError:
+                pass
+
+    async def _once(self) -> float:
+        region = self.region
+        sent, tenure, name = region.now(), self.tenure, region.names[self.target]
+        body = self.report()
+        region.note_report(body)
+        if self.mute:
+            self.target = (self.target + 1) % len(region.names)
+            await asyncio.sleep(2.0)
+            return 1.0
+        try:
+            status, answer = await region.network.call(
+                self.name, "POST", f"http://{region.addresses[name]}/v1/report", body, 4.0
+            )
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            status, answer = 0, b""
+        if self.deaf or self.gone:
+            return REPORT_S
+        if status == 200:
+            decoded = json.loads(answer)
+            if decoded["epoch"] >= self.epoch and tenure == self.tenure:
+                self.see_epoch(decoded["epoch"])
+                self.answered = sent
+                self.carry_out(decoded["orders"])
+            return REPORT_S * region.rng.uniform(0.75, 1.25) - 0.5
+        steward = json.loads(answer).get("steward") if status == 421 else None
+        if steward in region.names and steward != name:
+            self.target = region.names.index(steward)
+            return 0.0
+        self.target = (self.target + 1) % len(region.names)
+        return 0.5
+
+
+class Region:
+    """Everything around the controllers, and the controllers."""
+
+    def __init__(self, seed: int, teams: tuple[Team, ...] = (Team("red", 8.0, 24.0), Team("blue")),
+                 count: int = 3) -> None:  # fmt: skip
+        self.rng = random.Random(seed)
+        self.loop = asyncio.get_running_loop()
+        self.network = Network(self.rng)
+        self.state = StateService(self)
+        self.teams = {team.name: team for team in teams}
+        self.names = [f"moss-{i}" for i in range(count)]
+        self.addresses = {n: f"{n}:8080" for n in self.names}
+        self.controllers: dict[str, tuple[Controller, list[asyncio.Task]]] = {}
+        self.workers: dict[str, Worker] = {}
+        self.hires: dict[str, list[str]] = {}
+        self.cloud_down = False
+        self.late_reports = 0.0
+        self.rented = 0
+        # What users know and what the rules are checked on.
+        self.specs: dict[str, JobSpec] = {}
+        self.run_times: dict[str, float] = {}
+        self.accepted: set[str] = set()
+        self.told: dict[str, tuple[str, float]] = {}
+        self.asked_to_cancel: set[str] = set()
+        self.done_tasks: set[str] = set()
+        self.on: dict[str, Worker] = {}
+        # When a team last had no room for a task of that many cores within its limit.
+        self.at_limit: dict[tuple[str, float], float] = {}
+        self.broken: list[str] = []
+        self.counts: Counter[str] = Counter()
+
+    def now(self) -> float:
+        return self.loop.time()
+
+    # The rules.
+
+    def note(self, rule: str, what: str) -> None:
+        self.broken.append(f"{rule} at {self.now():.1f} s: {what}")
+
+    def spec_of(self, task: str) -> JobSpec | None:
+        return self.specs.get(task.partition("/")[0])
+
+    def run_s(self, task: str) -> float:
+        if task in self.done_tasks:
+            return 0.0
+        return self.run_times[task.partition("/")[0]] * self.rng.uniform(0.4, 1.6)
+
+    def started(self, worker: Worker, task: str) -> None:
+        spec = self.spec_of(task)
+        self.counts["started"] += 1
+        if task in self.on:
+            self.note("ran_twice", f"{task} on {self.on[task].name} and {worker.name}")
+        self.on[task] = worker
+        phase, since = self.told.get(spec.id, ("", 0.0))
+        if phase == "withdrawn":
+            self.counts["started_cancelled"] += 1
+            if self.now() - since > CANCEL_S:
+                self.note("ran_cancelled", f"{task} started on {worker.name}")
+        used = sum(self.spec_of(t).cpus for t in self.on if self.spec_of(t).team == spec.team)
+        if 0 < self.teams[spec.team].cpus_max < used:
+            self.note("quota", f"{spec.team} uses {used}")
+        mates = [w for t, w in self.on.items() if t.partition("/")[0] == spec.id and t != task]
+        if spec.one_zone and any(mate.zone != worker.zone for mate in mates):
+            self.note("wrong_place", f"{task} in {worker.zone}, others elsewhere")
+        there = sum(1 for mate in mates if mate.zone == worker.zone) + 1
+        if spec.spread and there > -(-spec.tasks // 2):
+            self.note("wrong_place", f"{task}: {there} tasks in {worker.zone}")
+        if (worker.spot and not spec.spot) or (spec.zone or worker.zone) != worker.zone:
+            self.note("wrong_place", f"{task} on {worker.name}")
+
+    def ended(self, worker: Worker, task: str, cause: str) -> None:
+        if self.on.get(task) is worker:
+            del self.on[task]
+        if cause == "done":
+            self.done_tasks.add(task)
+
+    def user_told(self, job_id: str, phase: str) -> None:
+        before, _ = self.told.get(job_id, ("", 0.0))
+        if before in ("done", "withdrawn") and phase != before:
+            self.note("went_back", f"{job_id} was {before}, is {phase}")
+        if phase == "withdrawn" and job_id not in self.asked_to_cancel:
+            self.note("went_back", f"{job_id} cancelled by nobody")
+        if phase == "done" and any(
+            f"{job_id}/{i}" not in self.done_tasks for i in range(self.specs[job_id].tasks)
+        ):
+            self.note("not_done", job_id)
+        if phase != before:
+            self.counts[phase] += 1
+            self.told[job_id] = (phase, self.now())
+
+    def check(self) -> None:
+        used = Counter(dict.fromkeys(self.teams, 0.0))
+        for worker in self.workers.values():
+            for (task, _), row in worker.tasks.items():
+                if row["phase"] != "exited":
+                    used[self.spec_of(task).team] += self.spec_of(task).cpus
+        for name, team in self.teams.items():
+            for cpus in (1.0, 2.0):
+                if 0 < team.cpus_max < used[name] + cpus:
+                    self.at_limit[(name, cpus)] = self.now()
+        for task, worker in self.on.items():
+            phase, since = self.told.get(task.partition("/")[0], ("", 0.0))
+            if phase == "withdrawn" and self.now() - since > CANCEL_S:
+                self.note("ran_cancelled", f"{task} still on {worker.name}")
+
+    # The cloud.
+
+    async def cloud(self, method: str, path: str, body: bytes, _sender: str) -> tuple[int, bytes]:
+        url = urlsplit(path)
+        if self.cloud_down:
+            return 503, b'{"error":"trouble"}'
+        if url.path == "/machine_types":
+            return 200, msgspec.json.encode({"builds": [shape(boot_s=3.0)]})
+        if url.path == "/machines/release":
+            for name in json.loads(body)["hosts"]:
+                if name in self.workers:
+                    self.workers.pop(name).destroy()
+            return 200, b"{}"
+        if method == "POST":
+            return 200, json.dumps({"hosts": self._rent(json.loads(body))}).encode()
+        hosts = [
+            {"ref": n, "addr": w.address, "build": w.kind, "yard": w.zone,
+             "reclaimable": w.spot, "phase": "running" if w.up else "booting", "held_s": 1.0}
+            for n, w in sorted(self.workers.items())
+            if self.now() - w._began > 4.0 and n > parse_qs(url.query).get("after", [""])[0]
+        ]  # fmt: skip
+        return 200, json.dumps({"hosts": hosts, "truncated": False}).encode()
+
+    def _rent(self, body: dict) -> list[str]:
+        if body["hire"] not in self.hires:
+            names = []
+            for _ in range(min(body["how_many"], 24 - len(self.workers))):
+                name = f"vm-{self.rented:06d}"
+                worker = Worker(self, name, body["build"], body["yard"], body["reclaimable"])
+                self.workers[name] = worker
+                self.network.hosts[worker.address] = (name, worker.serve)
+                self.network.spawn(worker.run(self.rng.uniform(2.0, 4.5)))
+                self.rented += 1
+                names.append(name)
+            self.hires[body["hire"]] = names
+        return self.hires[body["hire"]]
+
+    def note_report(self, body: bytes) -> None:
+        if self.rng.random() < self.late_reports:
+            self.network.spawn(self._report_again(body))
+
+    async def _report_again(self, body: bytes) -> None:
+        await asyncio.sleep(self.rng.choice([2.0, 5.0, LEASE_S + 4.0, 2 * LEASE_S]))
+        name = self.rng.choice(self.names)
+        if name in self.controllers:
+            await self.controllers[name][0].steward.report(msgspec.json.decode(body, type=Report))
+
+    # The controllers.
+
+    def start(self) -> None:
+        self.network.hosts["state:1"] = ("state", self.state.serve)
+        self.network.hosts["cloud:1"] = ("cloud", self.cloud)
+        for name in self.names:
+            self.start_controller(name)
+        self.network.spawn(self._tick())
+
+    async def _tick(self) -> None:
+        while True:
+            await asyncio.sleep(TICK_S)
+            self.state.tick()
+            for worker in list(self.workers.values()):
+                worker.advance()
+            self.check()
+
+    def settings(self, name: str) -> Settings:
+        zone = {n: "b" if n == self.names[-1] else "a" for n in self.names}
+        return Settings(
+            name, zone[name], self.addresses[name], f"{name}:8081", Outside("cloud:1", "state:1"),
+            Params(("a", "b"), WorkerLimits(REPORT_S, LEASE_S, CANCEL_S),
+                   StateLimits(200.0, 40.0, 16.0, 16), CloudLimits(6.0, 4.0),
+                   teams=tuple(self.teams.values()), machine_limits=MachineLimits()),
+            tuple(Peer(n, zone[n], f"{n}:8081") for n in self.names if n != name), Tuning(),
+        )  # fmt: skip
+
+    def start_controller(self, name: str) -> None:
+        session = Session(self.network, name)
+        rng = random.Random(self.rng.random())
+        controller = Controller(
+            self.settings(name), session, session, VirtualClock(self.loop, rng), rng  # type: ignore[arg-type]
+        )  # fmt: skip
+        tasks = [asyncio.ensure_future(work) for work in controller.work()]
+        self.controllers[name] = (controller, tasks)
+
+        async def users(method: str, path: str, body: bytes, _sender: str) -> tuple[int, bytes]:
+            if path == "/v1/report":
+                return await controller.steward.report(msgspec.json.decode(body, type=Report))
+            if method == "POST" and path == "/api/jobs":
+                reply = await controller.desk.submit(body)
+            elif method == "POST":
+                reply = await controller.desk.withdraw(path.split("/")[3])
+            else:
+                reply = await controller.desk.poll(path.split("/")[3])
+            return reply.status, reply.body
+
+        async def peers(_method: str, path: str, body: bytes, _sender: str) -> tuple[int, bytes]:
+            def decoded(kind: type) -> object:
+                return msgspec.msgpack.decode(body, type=kind)
+
+            if path == "/offer":
+                answer: object = await controller.owner.offer(decoded(Offer))
+            elif path == "/outcomes":
+                answer = controller.owner.outcomes(decoded(Outcomes))
+            elif path == "/withdrawn":
+                answer = controller.withdrawn_elsewhere(decoded(Withdrawals))
+            elif path == "/poll":
+                answer = await controller.desk.poll_for_other(decoded(str))
+            else:
+                answer = controller._sees()
+            return 200, msgspec.msgpack.encode(answer)
+
+        self.network.hosts[f"{name}:8080"] = (name, users)
+        self.network.hosts[f"{name}:8081"] = (name, peers)
+
+    def kill_controller(self, name: str) -> None:
+        controller, tasks = self.controllers.pop(name)
+        for task in [*tasks, *controller.steward._tasks]:
+            task.cancel()
+        for port in (8080, 8081):
+            self.network.hosts.pop(f"{name}:{port}", None)
+
+    def leader(self) -> str | None:
+        return next((n for n, (c, _) in self.controllers.items() if c.leadership.leads()), None)
+
+    # The users.
+
+    async def ask(self, method: str, path: str, body: bytes = b"", node: str | None = None,
+                  timeout_s: float = 5.0) -> tuple[int, dict]:  # fmt: skip
+        name = node or self.rng.choice(self.names)
+        try:
+            status, answer = await self.network.call(
+                "user", method, f"http://{self.addresses[name]}{path}", body, timeout_s
+            )
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            return 0, {}
+        return status, json.loads(answer)
+
+    async def submit(self, spec: JobSpec, run_s: float, node: str | None = None) -> bool:
+        self.specs[spec.id], self.run_times[spec.id] = spec, run_s
+        body = msgspec.json.encode(spec)
+        until = self.now() + 60.0
+        while self.now() < until:
+            status, answer = await self.ask("POST", "/api/jobs", body, node)
+            if status in (200, 201):
+                self.accepted.add(spec.id)
+                self.user_told(spec.id, answer["phase"])
+                return True
+            if status in (400, 422):
+                if spec.id in self.accepted:
+                    self.note("forgotten", f"{spec.id}: {status}")
+                return False
+            await asyncio.sleep(1.0)
+        return False
+
+    async def poll(self, job_id: str, node: str | None = None) -> str | None:
+        status, answer = await self.ask("GET", f"/api/jobs/{job_id}", node=node, timeout_s=2.0)
+        if status == 404 and job_id in self.accepted:
+            self.note("forgotten", f"{job_id}: 404")
+        if status != 200:
+            return None
+        self.user_told(job_id, answer["phase"])
+        return answer["phase"]
+
+    async def withdraw(self, job_id: str, node: str | None = None) -> None:
+        self.asked_to_cancel.add(job_id)
+        until = self.now() + 60.0
+        while self.now() < until:
+            status, answer = await self.ask("POST", f"/api/jobs/{job_id}/withdraw", node=node)
+            if status == 200:
+                self.user_told(job_id, answer["phase"])
+                return
+            await asyncio.sleep(1.0)
+
+    async def follow(self, job_id: str) -> None:
+        phase = await self.poll(job_id)
+        while phase not in ("done", "withdrawn"):
+            await asyncio.sleep(5.0)
+            phase = await self.poll(job_id)
--- a/tests/test_jobs.py
+++ b/tests/test_jobs.py
@@ -104,7 +104,7 @@
     @rule(chance=st.integers(0, 9))
     def withdraw(self, chance):
         if chance == 0:
-            self.mirror.commit(withdraw_change(self.job))
+            self.mirror.commit(withdraw_change(self.job, 1))
             self.withdrawn = True
 
     @precondition(lambda self: self.job is None)
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -133,7 +133,7 @@
     steward, clock = led.steward, led.clock
     zone = steward._settings.zone
     released = []
-    steward.cloud = SimpleNamespace(release=released.extend)
+    steward.cloud = SimpleNamespace(release=lambda names, served: released.extend(names))
     for machine in steward.book.machines.values():
         machine.zone = zone
     steward._since_us = clock.us - 60 * S
