Split ending withdrawn tasks and upkeep of records off the leader's actor; a test for each guard

Each new guard has a test that was seen to fail without it: releases for overdue withdrawals, the guard on orphans' jobs, a start sent once, withdrawals told and told late, releases without the state service. In virtual time a controller can stand still now, and goes on with what it had begun.

--- a/mosswalk/fleet/steward.py
+++ b/mosswalk/fleet/steward.py
@@ -14,7 +14,6 @@
 
 import aiohttp
 import msgspec
-from msgspec import Raw
 
 from mosswalk.actors import SECOND_US, Actor, Clock, to_s, to_us
 from mosswalk.cloud.actor import CloudCaller, Listed, Released, Rented, Typed
@@ -35,22 +34,22 @@
 from mosswalk.fleet.moving import Moving
 from mosswalk.fleet.offers import Offers
 from mosswalk.fleet.orders import judge, kills_of_closed
-from mosswalk.fleet.overdue import overdue_withdrawals
 from mosswalk.fleet.preempting import Preempting
 from mosswalk.fleet.pushes import Pushes
 from mosswalk.fleet.renting import Renting
 from mosswalk.fleet.suspects import TAKEOVER_US, Suspects
 from mosswalk.fleet.telling import OutcomeLink, Telling
+from mosswalk.fleet.upkeep import Upkeep
 from mosswalk.fleet.visitors import Visitors, cut_from_workers
+from mosswalk.fleet.withdrawing import Withdrawing
 from mosswalk.jobs.board import AttemptKey, Board
 from mosswalk.jobs.state import Job, split_task_name, task_name
 from mosswalk.leadership.actor import Leadership
 from mosswalk.placement.owner import Owner
 from mosswalk.placement.preemption import worth_saving
 from mosswalk.store import records
-from mosswalk.store.client import ConflictError, RefusedError, UnknownOutcomeError
 from mosswalk.store.mirror import Mirror
-from mosswalk.store.writer import Change, GroupWriter
+from mosswalk.store.writer import GroupWriter
 from mosswalk.wire.cloud import MachineType
 from mosswalk.wire.peers import Offer, OfferAnswer, Outcome
 from mosswalk.wire.workers import Order, Redirect, Report, ReportAnswer
@@ -70,8 +69,6 @@
 _ORPHANS_US = 60 * SECOND_US
 # How long room freed by stopping attempts is kept for those it was freed for.
 _CLAIM_US = 4 * SECOND_US
-# Machines tell a new leader by then whether withdrawn tasks are still there.
-_HEAR_US = 4 * SECOND_US
 # Those that have not found it by then are called, so many a tick, and again after as long.
 _DRAW_AFTER_US = 2 * SECOND_US
 _MOST_DRAWN = 64
@@ -140,6 +137,7 @@
         self._orphans_us = 0
         self._plan_scheduled = False
         self._plan_rest_us = 0
+        self._upkeep = Upkeep(settings, mirror, board, writer, leadership)
         self._telling = Telling(board, leadership, owner, peers, self.spawn, clock)
         self._stops: dict[AttemptKey, _Stop] = {}
         self._pushes = Pushes(
@@ -150,6 +148,9 @@
         )  # fmt: skip
         self._suspects = Suspects(settings, self.book, leadership, clock)
         self._late_starts = LateStarts(self.book, board, leadership, clock)
+        self._withdrawing = Withdrawing(
+            self.book, board, leadership, self._pushes, self._suspects.patience, clock
+        )
         # Long enough that the leader, who asks each second or two, misses none of them.
         self.visitors = Visitors(2 * SECOND_US + to_us(workers.report_s), clock)
         # Whether no leader can be reached from here, nor anybody who could name one.
@@ -444,17 +445,8 @@
         self._pushes.push(machine, Order("run", task_name(job.id, attempt.task), attempt.number))
 
     def _withdrawn(self, job: Job) -> None:
-        """A job is withdrawn: end its tasks without waiting for the machines' next reports."""
-        if not self._leading:
-            return
-        for attempt in job.live():
-            machine = self.book.machines.get(attempt.machine)
-            if machine is None or machine.tenure != attempt.tenure or machine.releasing:
-                continue
-            name = task_name(job.id, attempt.task)
-            reported = machine.tasks.get((name, attempt.number))
-            if reported is None or reported.phase != "exited":
-                self._pushes.push(machine, Order("kill", name, attempt.number, 0.0))
+        if self._leading:
+            self._withdrawing.end(job)
 
     def _push_done(self, message: PushDone) -> None:
         self._pushes.ended(message.machine)
@@ -513,12 +505,13 @@
         if now_us - self._asked_list_us > _LIST_US:
             self._asked_list_us = now_us
             self.spawn(self.cloud.refresh_list())
-        for machine in list(self._board.by_machine):
-            if machine not in self.book.machines:
-                self._rumour(machine)
+        for name in list(self._board.by_machine):
+            if name not in self.book.machines:
+                self._rumour(name)
         self._offers.refresh()
         self._draw()
-        self._end_withdrawn()
+        for machine, why in self._withdrawing.overdue(self._since_us):
+            self._release(machine, why, served=False)
         self._suspect()
         self._telling.turn()
         self._late_starts.turn()
@@ -528,7 +521,7 @@
             del self._failed_on[job_id]
         if now_us - self._orphans_us > _ORPHANS_US:
             self._orphans_us = now_us
-            self.spawn(self._clear_orphans())
+            self.spawn(self._upkeep.clear_orphans())
         # Worked out once for all who ask: it walks all that waits, by each team's limit.
         waiting = self._renting.waiting()
         if now_us - self._preempt_us > _PREEMPT_US:
@@ -593,19 +586,6 @@
         for machine, why in self._suspects.turn(self._since_us):
             self._release(machine, why)
 
-    def _end_withdrawn(self) -> None:
-        """Release machines that withdrawn tasks can't be shown to have left in time.
-
-        Also without the state service, while we may answer: a machine that hangs past the end of
-        its lease keeps its tasks, and this alone ends them.
-        """
-        if self._clock.now_us() - self._since_us < _HEAR_US:
-            return
-        for machine, why in overdue_withdrawals(
-            self.book, self._board, self._clock, self._suspects.patience, self._leadership.epoch()
-        ):
-            self._release(machine, why, served=False)
-
     # The cloud.
 
     def _list_came(self, message: Listed) -> None:
@@ -681,41 +661,15 @@
         self.book.types = {t.name: t for t in types}
         for name in self.book.machines:
             self._offers.touch(name)
-        # Others judge submissions by what is written here; prices move and do not matter there.
-        plain = [msgspec.structs.replace(t, price=0.0, spot_price=0.0) for t in types]
-        value = records.encode(plain)
-        if self._mirror.value(records.TYPES_KEY) != value:
-            version = self._mirror.version(records.TYPES_KEY)
-            self.spawn(self._write_types(Raw(value), version))
+        if not self._upkeep.types_written(types):
+            self.spawn(self._write_types(types))
         self._poke()
 
-    async def _write_types(self, value: Raw, version: int) -> None:
-        guards = {
-            records.TYPES_KEY: version,
-            records.TERM_KEY: self._leadership.term_version,
-        }
-        try:
-            await self._writer.commit(Change(guards, {records.TYPES_KEY: value}))
-        except (ConflictError, RefusedError, UnknownOutcomeError) as error:
-            log.info("machine types not written: %s", error)
+    async def _write_types(self, types: tuple[MachineType, ...]) -> None:
+        if not await self._upkeep.write_types(types):
+            # Until they are there, every submission is turned down.
             self._asked_types_us = -_TYPES_US
 
-    async def _clear_orphans(self) -> None:
-        """Remove chunks of jobs that are over; their removal is not part of the job's end."""
-        orphans = self._board.orphans()
-        ops = self._settings.params.state.txn_ops
-        for start in range(0, len(orphans), ops):
-            some = orphans[start : start + ops]
-            # When all keys are read anew, a new job's chunks may be seen before its header: only
-            # the state service knows that there is none.
-            guards = {records.TERM_KEY: self._leadership.term_version}
-            guards.update((records.job_key(job_id), 0) for job_id, _ in some)
-            try:
-                await self._writer.commit(Change(guards, {}, tuple(key for _, key in some)))
-            except (ConflictError, RefusedError, UnknownOutcomeError) as error:
-                log.info("orphans not removed: %s", error)
-                return
-
     # Preemption and the factory.
 
     def _preempt(self, waiting: list[WaitingTasks]) -> None:
--- /dev/null
+++ b/mosswalk/fleet/withdrawing.py
@@ -0,0 +1,79 @@
+"""Ends the tasks of withdrawn jobs: told at once, and shown to be gone while there is time."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+from mosswalk.actors import SECOND_US, Clock
+from mosswalk.fleet.book import Book, Machine
+from mosswalk.fleet.pushes import Pushes
+from mosswalk.fleet.suspicion import Patience
+from mosswalk.jobs.board import AttemptKey, Board
+from mosswalk.jobs.state import Job, task_name
+from mosswalk.leadership.actor import Leadership
+from mosswalk.wire.workers import Order
+
+# Machines tell a new leader by then whether withdrawn tasks are still there.
+_HEAR_US = 4 * SECOND_US
+
+
+class Withdrawing:
+    """What the leader does about withdrawn jobs, besides the kills in its answers to reports."""
+
+    def __init__(
+        self, book: Book, board: Board, leadership: Leadership, pushes: Pushes,
+        patience: Patience, clock: Clock,
+    ) -> None:  # fmt: skip
+        self._book = book
+        self._board = board
+        self._leadership = leadership
+        self._pushes = pushes
+        self._patience = patience
+        self._clock = clock
+
+    def end(self, job: Job) -> None:
+        """A job is withdrawn: end its tasks without waiting for the machines' next reports."""
+        for attempt in job.live():
+            machine = self._book.machines.get(attempt.machine)
+            if machine is None or machine.tenure != attempt.tenure or machine.releasing:
+                continue
+            name = task_name(job.id, attempt.task)
+            reported = machine.tasks.get((name, attempt.number))
+            if reported is None or reported.phase != "exited":
+                self._pushes.push(machine, Order("kill", name, attempt.number, 0.0))
+
+    def overdue(self, since_us: int) -> Iterator[tuple[Machine, str]]:
+        """Machines to release since withdrawn tasks may still be there, and why.
+
+        Silence alone is no measure: it is counted anew by each leader, and many machines that are
+        silent together are given longer. This counts from the withdrawal, whoever led meanwhile,
+        for as long as a silent machine is given that may only be cut off. Its lease has ended by
+        then if it runs at all; one that hangs keeps its tasks. ``cancel_s`` leaves time for the
+        cloud to be down.
+        """
+        if not self._board.withdrawn or self._clock.now_us() - since_us < _HEAR_US:
+            return
+        limit_us = self._patience.silent_us + self._patience.lease_us
+        for job in list(self._board.withdrawn.values()):
+            age_us = self._clock.wall_us() - job.record.withdrawn_us
+            if job.record.withdrawn_us == 0 or age_us < limit_us:
+                continue
+            for attempt in job.live():
+                machine = self._book.machines.get(attempt.machine)
+                key = (job.id, attempt.task, attempt.number)
+                if machine is not None and not self._gone(machine, key):
+                    what = f"{task_name(job.id, attempt.task)} was withdrawn"
+                    yield machine, f"{what} {age_us / SECOND_US:.1f} s ago"
+
+    def _gone(self, machine: Machine, key: AttemptKey) -> bool:
+        """Whether a machine that is heard of has shown that an attempt is not there.
+
+        The records may show it much later: writes are scarce.
+        """
+        start = (task_name(key[0], key[1]), key[2])
+        reported = machine.tasks.get(start)
+        if reported is not None:
+            return reported.phase == "exited"
+        epoch = self._leadership.epoch()
+        heard = machine.hears and self._clock.now_us() - machine.seen_us < self._patience.silent_us
+        return heard and machine.epoch >= epoch and not machine.may_run_late(start, epoch)
--- a/tests/days.py
+++ b/tests/days.py
@@ -145,6 +145,20 @@
     awake.set()
 
 
+async def _freeze(region: Region, trouble: Trouble) -> None:
+    """A controller stands still, and then goes on with what it had begun."""
+    name = _someone(region, trouble.pick)
+    if name in region.network.hangs:
+        return
+    awake = asyncio.Event()
+    region.network.hangs[name] = awake
+    region.loop.frozen.setdefault(name, [])
+    await asyncio.sleep(trouble.for_s)
+    region.network.hangs.pop(name, None)
+    region.loop.thaw(name)
+    awake.set()
+
+
 async def _flag(region: Region, trouble: Trouble, flag: str) -> None:
     workers = [region.workers[n] for n in _few(region, trouble.pick)]
     for worker in workers:
@@ -260,6 +274,7 @@
     "crash_all": _crash_all,
     "deaf": _deaf,
     "die": _die,
+    "freeze": _freeze,
     "hang": _hang,
     "late_reports": _late_reports,
     "late_writes": _late_writes,
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -66,6 +66,10 @@
     "a leader apart from state service and peers, jobs cancelled through the next": (
         [T(35, "apart", 40, 1), T(40, "cancel"), T(52, "cancel")], 14,
     ),
+    "controllers stand still and go on, machines are cut off meanwhile": (
+        [T(30, "freeze", 25, 1), T(35, "cancel"), T(60, "freeze", 8, 1),
+         T(62, "machines_cut", 10)], 14,
+    ),
     "jobs are cancelled and their machines hang while leaders change": (
         [T(40, "cancel_and_hang", 70), T(41, "leaders_change", 60)], 14,
     ),
--- /dev/null
+++ b/tests/test_withdrawing.py
@@ -0,0 +1,172 @@
+"""Withdrawn tasks: told of at once, ended in time, and what is left of jobs removed safely."""
+
+import asyncio
+import random
+
+import pytest
+
+from mosswalk.fleet.book import Machine
+from mosswalk.fleet.upkeep import Upkeep
+from mosswalk.peers.news import WithdrawalNews
+from mosswalk.store import records
+from mosswalk.store.client import ConflictError
+from mosswalk.store.records import Attempt, TaskChunk
+from mosswalk.wire.peers import Withdrawal, Withdrawals
+from tests.days import Trouble, play_day
+from tests.region import CANCEL_S, LEASE_S, Region
+from tests.standins import FakeClock, spec
+from tests.virtual import play
+
+S = 1_000_000
+
+
+def refused_before_an_outage(tell):
+    """A job is cancelled through another controller as the leader is refused; then all are."""
+    left_s: list[float] = []
+
+    async def run():
+        region = Region(5)
+        region.start()
+        await asyncio.sleep(4)
+        await region.submit(spec(tasks=6), 300.0)
+        await region.until(lambda: len(region.on) == 6)
+        leader = region.leader()
+        if not tell:
+            for controller, _ in region.controllers.values():
+                controller.desk.on_withdrawn = lambda _: None
+        region.state.refused.add(leader)
+        other = next(n for n in region.names if n != leader)
+        await region.withdraw("j-000001", other)
+        region.state.begin_outage()
+        told = region.told["j-000001"][1]
+        await region.until(lambda: not region.on)
+        left_s.append(region.now() - told)
+        assert region.broken == []
+
+    play(run())
+    return left_s[0]
+
+
+def test_the_leader_hears_of_a_withdrawal_though_the_state_service_refuses_it():
+    assert refused_before_an_outage(tell=True) < 3.0
+    # Nothing rests on it: without it the tasks end by their leases, in time.
+    assert 2 * LEASE_S < refused_before_an_outage(tell=False) < CANCEL_S
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_a_machine_that_hangs_with_withdrawn_tasks_is_released_whoever_leads(seed):
+    troubles = [
+        Trouble(40, "cancel_and_hang", 70, seed), Trouble(41, "leaders_change", 60)
+    ]  # fmt: skip
+    region = play_day(seed, troubles)
+    assert region.broken == [] and region.counts["withdrawn"]
+
+
+def test_news_is_told_until_acknowledged_but_no_longer_than_it_is_of_use():
+    async def run():
+        clock, told, answers = FakeClock(), [], iter([False, True, False])
+
+        class Peers:
+            async def withdrawn(self, node, message):
+                told.append([w.job for w in message.withdrawals])
+                if not next(answers):
+                    raise OSError
+
+        news = WithdrawalNews(["moss-1"], Peers(), 40 * S, clock, random.Random(1))
+        work = asyncio.ensure_future(news.run())
+        news.tell(Withdrawal("j-000001", b"{}", 7))
+        await asyncio.sleep(2)
+        assert told == [["j-000001"]] * 2
+        news.tell(Withdrawal("j-000002", None, 8))
+        await asyncio.sleep(0.1)
+        clock.us += 41 * S
+        await asyncio.sleep(2)
+        assert told == [["j-000001"]] * 2 + [["j-000002"]]
+        work.cancel()
+
+    play(run())
+
+
+def test_late_news_of_a_job_that_is_over_does_not_bring_it_back():
+    async def run():
+        region = Region(3)
+        region.start()
+        await asyncio.sleep(4)
+        await region.submit(spec(tasks=2), 300.0)
+        await region.until(lambda: region.on)
+        told = []
+        for controller, _ in region.controllers.values():
+            controller.desk.on_withdrawn = told.append
+        await region.withdraw("j-000001")
+        await asyncio.sleep(20)
+        controller = region.controllers[region.leader()][0]
+        assert "j-000001" not in controller.board.jobs
+        controller.withdrawn_elsewhere(Withdrawals(tuple(told)))
+        assert len(told) == 1 and "j-000001" not in controller.board.jobs
+
+    play(run())
+
+
+def test_orphans_are_removed_only_where_the_state_service_knows_no_job():
+    """When all keys are read anew, a new job's chunks are seen before its header."""
+
+    async def run():
+        region = Region(1)
+        region.start()
+        await asyncio.sleep(5)
+        controller = region.controllers[region.leader()][0]
+        chunk = TaskChunk("0", (Attempt(300, 1, "vm-1", 1, 1),))
+        kept, gone = (records.chunk_key(f"j-00000{i}", 1) for i in (1, 2))
+        for key in (kept, gone):
+            controller.board._chunk_changed(key, records.encode(chunk), 1)
+        region.state.store.rows[records.job_key("j-000001")] = (b"{}", 3, None)
+        deleted = []
+
+        async def commit(change):
+            failed = [k for k, v in change.guards.items()
+                      if v == 0 and k in region.state.store.rows]  # fmt: skip
+            if failed:
+                raise ConflictError(tuple(failed))
+            deleted.extend(change.deletes)
+
+        controller.writer.commit = commit
+        upkeep = Upkeep(
+            controller.settings, controller.mirror, controller.board, controller.writer,
+            controller.leadership,
+        )  # fmt: skip
+        await upkeep.clear_orphans()
+        assert kept not in deleted
+        del region.state.store.rows[records.job_key("j-000001")]
+        await upkeep.clear_orphans()
+        assert deleted == [kept, gone]
+
+    play(run())
+
+
+def test_a_start_without_an_answer_is_not_sent_twice():
+    """An answer to the second would not tell that the first can't be carried out any more."""
+
+    async def run():
+        region = Region(2)
+        region.start()
+        await asyncio.sleep(4)
+        await region.submit(spec(tasks=1), 300.0)
+        await region.until(lambda: region.on)
+        controller = region.controllers[region.leader()][0]
+        (machine,) = (m for m in controller.steward.book.machines.values() if m.tasks)
+        assert isinstance(machine, Machine)
+        ((name, number),) = machine.tasks
+        job = controller.board.jobs["j-000001"]
+        (attempt,) = job.live()
+        sent = []
+        controller.steward._pushes._post = lambda *args: sent.append(args) or asyncio.sleep(0)
+        machine.unanswered[(name, number)] = (controller.leadership.epoch(), machine.tenure)
+        controller.steward._attempt_appeared(machine.name, job, attempt)
+        await asyncio.sleep(0.1)
+        assert sent == []
+        machine.unanswered.clear()
+        controller.steward._attempt_appeared(machine.name, job, attempt)
+        await asyncio.sleep(0.1)
+        assert len(sent) == 1
+
+    play(run())
--- a/tests/virtual.py
+++ b/tests/virtual.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextvars
 import random
 import selectors
 from collections.abc import Awaitable, Callable, Coroutine
@@ -17,6 +18,9 @@
 
 Serve = Callable[[str, str, bytes, str], Awaitable[tuple[int, bytes]]]
 
+# Which process what runs belongs to, so that one alone can stand still.
+PROCESS: contextvars.ContextVar[str] = contextvars.ContextVar("PROCESS", default="")
+
 
 class VirtualLoop(asyncio.SelectorEventLoop):
     """An event loop that never waits: its time jumps to the next timer."""
@@ -34,11 +38,39 @@
         selector = self._Selector()
         selector.loop = self
         self.now = 0.0
+        # What processes that stand still would have run.
+        self.frozen: dict[str, list[tuple[list, Callable[..., Any], tuple]]] = {}
         super().__init__(selector)
 
     def time(self) -> float:
         return self.now
 
+    def _unless_frozen(self, handles: list, callback: Callable[..., Any], args: tuple) -> None:
+        waiting = self.frozen.get(PROCESS.get())
+        if waiting is None:
+            callback(*args)
+        else:
+            waiting.append((handles, callback, args))
+
+    def call_soon(self, callback, *args, context=None):
+        handles: list = []
+        handle = super().call_soon(self._unless_frozen, handles, callback, args, context=context)
+        handles.append(handle)
+        return handle
+
+    def call_at(self, when, callback, *args, context=None):
+        handles: list = []
+        handle = super().call_at(
+            when, self._unless_frozen, handles, callback, args, context=context
+        )
+        handles.append(handle)
+        return handle
+
+    def thaw(self, process: str) -> None:
+        for handles, callback, args in self.frozen.pop(process, ()):
+            if not handles[0].cancelled():
+                super().call_soon(callback, *args, context=handles[0]._context)
+
 
 def play(work: Coroutine[Any, Any, None]) -> None:
     """Run something on virtual time to its end."""
