--- a/tests/days.py
+++ b/tests/days.py
@@ -7,7 +7,8 @@
 from dataclasses import dataclass
 from typing import Any
 
-from tests.region import CANCEL_S, LEASE_S, Region
+from tests.outside import LEASE_S
+from tests.region import CANCEL_S, Region
 from tests.standins import spec
 from tests.virtual import play
 
@@ -303,6 +304,7 @@
             "cpus": rng.choice([1.0, 2.0]), "spot": rng.random() < 0.6, "kind": kind,
             "one_zone": rng.random() < 0.35,
             "image": rng.choice(["img", "img2"]),
+            "checkpoint_s": 0.0 if kind == "daemon" else rng.choice([0.0, 15.0]), "save_s": 6.0,
             "priority": "prod" if kind == "daemon" else rng.choice(["standard", "idle"]),
         }  # fmt: skip
         if kind == "daemon" and not changes["one_zone"]:
--- /dev/null
+++ b/tests/outside.py
@@ -0,0 +1,316 @@
+"""A region's state service and machines, by their published protocols, troubles included."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from typing import TYPE_CHECKING
+from urllib.parse import parse_qs, urlsplit
+
+import aiohttp
+import msgspec
+
+from mosswalk.store.client import ConflictError, NoLeaseError
+from mosswalk.wire import state as wire
+from tests.standins import Store
+
+if TYPE_CHECKING:
+    from tests.region import Region
+
+REPORT_S = 1.5
+LEASE_S = 12.0
+
+
+class StateService:
+    """The store with its leases; may be down, refuse some, be slow, or carry writes out late."""
+
+    def __init__(self, region: Region) -> None:
+        self.region = region
+        self.store = Store()
+        self.leases: dict[int, tuple[float, float]] = {}
+        self._up = asyncio.Event()
+        self._up.set()
+        self.refused: set[str] = set()
+        self.late_share = 0.0
+        self._changed = asyncio.Event()
+
+    async def serve(self, method: str, path: str, body: bytes, sender: str) -> tuple[int, bytes]:
+        url = urlsplit(path)
+        query = {k: v[0] for k, v in parse_qs(url.query).items()}
+        if url.path == "/follow":
+            return await self._follow(query, sender)
+        if self.down or sender in self.refused:
+            return 503, b"{}"
+        if url.path == "/commit":
+            return await self._commit(body)
+        if url.path == "/holds":
+            ttl = json.loads(body)["ttl_ms"] / 1000
+            lease = self.store.grant()
+            self.leases[lease] = (self.region.now() + ttl, ttl)
+            return 200, json.dumps({"hold": lease}).encode()
+        if url.path.startswith("/holds/"):
+            lease = int(url.path.split("/")[2])
+            if lease not in self.leases:
+                return 404, b"{}"
+            ttl = self.leases[lease][1]
+            self.leases[lease] = (self.region.now() + ttl, ttl)
+            return 200, b"{}"
+        if url.path == "/store":
+            return 200, self._range(query)
+        return self._get(url.path.removeprefix("/store/"))
+
+    def _row(self, key: str) -> dict:
+        value, version, _ = self.store.rows[key]
+        return {"path": key, "v": msgspec.Raw(value), "stamp": version}
+
+    def _get(self, key: str) -> tuple[int, bytes]:
+        if key not in self.store.rows:
+            return 404, json.dumps({"ledger": self.store.revision}).encode()
+        return 200, msgspec.json.encode(self._row(key))
+
+    def _range(self, query: dict[str, str]) -> bytes:
+        after, limit = query.get("after", ""), int(query["limit"])
+        keys = sorted(k for k in self.store.rows if k.startswith(query["starts"]) and k > after)
+        return msgspec.json.encode(
+            {"rows": [self._row(k) for k in keys[:limit]], "truncated": len(keys) > limit,
+             "ledger": self.store.revision}
+        )  # fmt: skip
+
+    async def _commit(self, body: bytes) -> tuple[int, bytes]:
+        transaction = msgspec.json.decode(body, type=wire.Transaction)
+        if self.region.rng.random() < self.late_share:
+            self.region.network.spawn(self._commit_late(transaction))
+            await asyncio.sleep(60.0)
+        return self._apply(transaction)
+
+    async def _commit_late(self, transaction: wire.Transaction) -> None:
+        await asyncio.sleep(self.region.rng.uniform(2.0, 12.0))
+        await self._up.wait()
+        self._apply(transaction)
+
+    def _apply(self, transaction: wire.Transaction) -> tuple[int, bytes]:
+        try:
+            revision = self.store.commit(transaction)
+        except ConflictError as error:
+            body = {"failed": error.failed, "ledger": self.store.revision}
+            return 409, json.dumps(body).encode()
+        except NoLeaseError:
+            return 400, b'{"error":"no such lease"}'
+        self._notify()
+        return 200, json.dumps({"ledger": revision}).encode()
+
+    def _notify(self) -> None:
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    async def _follow(self, query: dict[str, str], sender: str) -> tuple[int, bytes]:
+        if self.down or sender in self.refused:
+            return 503, b"{}"
+        after, prefix = int(query["after"]), query["starts"]
+        until = self.region.now() + int(query.get("hold_ms", 0)) / 1000
+        while True:
+            changed = self._changed
+            if not self.down and sender not in self.refused:
+                events = [
+                    e for e in self.store.events[-2000:]
+                    if e["stamp"] > after and (e.get("write") or e["delete"]).startswith(prefix)
+                ]  # fmt: skip
+                if events or self.region.now() >= until:
+                    body = {"ledger": self.store.revision, "events": events}
+                    return 200, json.dumps(body).encode()
+                wait_s = until - self.region.now()
+            else:
+                wait_s = 0.1
+            try:
+                async with asyncio.timeout(wait_s):
+                    await changed.wait()
+            except TimeoutError:
+                pass
+
+    @property
+    def down(self) -> bool:
+        return not self._up.is_set()
+
+    def begin_outage(self) -> None:
+        self._up.clear()
+
+    def end_outage(self) -> None:
+        self._up.set()
+        for lease, (_, ttl) in self.leases.items():
+            self.leases[lease] = (self.region.now() + ttl, ttl)
+
+    def tick(self) -> None:
+        if self.down:
+            return
+        for lease, (until, _) in list(self.leases.items()):
+            if self.region.now() > until:
+                del self.leases[lease]
+                self.store.end_lease(lease)
+                self._notify()
+
+
+class Worker:
+    """One machine: boots, reports, fetches images, runs tasks, keeps its lease."""
+
+    def __init__(self, region: Region, name: str, kind: str, zone: str, spot: bool) -> None:
+        self.region, self.name = region, name
+        self.kind, self.zone, self.spot = kind, zone, spot
+        self.address = f"{name}:9000"
+        self.tenure, self.tick, self.epoch = 1, 0, 0
+        # phase, cause, and when the phase ends
+        self.tasks: dict[tuple[str, int], dict] = {}
+        self.images: set[str] = set()
+        self.target = region.rng.randrange(len(region.names))
+        self.answered = 0.0
+        self.up = self.gone = self.deaf = self.mute = False
+        self.kept: list[bytes] = []
+        self._changed = asyncio.Event()
+        self._began = region.now()
+
+    def report(self) -> bytes:
+        self.tick += 1
+        rows = [
+            {"piece": p, "try": t, "phase": row["phase"], "cause": row.get("cause")}
+            for (p, t), row in self.tasks.items()
+        ]
+        body = {
+            "host": self.name, "addr": self.address, "build": self.kind, "yard": self.zone,
+            "reclaimable": self.spot, "tenure": self.tenure, "tick": self.tick,
+            "epoch": self.epoch, "warning_s": None, "pieces": rows,
+        }  # fmt: skip
+        return json.dumps(body).encode()
+
+    def see_epoch(self, epoch: int) -> None:
+        if epoch > self.epoch:
+            self.epoch = epoch
+            self._changed.set()
+
+    def carry_out(self, orders: list[dict]) -> None:
+        for order in orders:
+            key = (order["piece"], order["try"])
+            row = self.tasks.get(key)
+            if order["verb"] == "run" and row is None:
+                self._start(key)
+            elif order["verb"] == "kill" and row is not None:
+                self._stop(key, row, order.get("drain_s") or 0.0)
+            elif order["verb"] == "reap" and row is not None and row["phase"] == "exited":
+                del self.tasks[key]
+
+    def _start(self, key: tuple[str, int]) -> None:
+        spec = self.region.spec_of(key[0])
+        self._changed.set()
+        if spec is None:
+            self.tasks[key] = {"phase": "exited", "cause": "no_such"}
+        elif any(p == key[0] and r["phase"] != "exited" for (p, _), r in self.tasks.items()):
+            self.tasks[key] = {"phase": "exited", "cause": "in_use"}
+        else:
+            fetch_s = 0.0 if spec.image in self.images else self.region.rng.uniform(0.5, 3.0)
+            self.tasks[key] = {"phase": "pulling", "until": self.region.now() + fetch_s}
+
+    def _stop(self, key: tuple[str, int], row: dict, grace_s: float) -> None:
+        spec = self.region.spec_of(key[0])
+        saves = spec is not None and spec.checkpoint_s > 0 and grace_s >= spec.save_s
+        if saves and row["phase"] == "running":
+            row["phase"], row["until"] = "saving", self.region.now() + spec.save_s
+            self._changed.set()
+        elif not saves or row["phase"] != "saving":
+            self.exit(key, "stopped")
+
+    def exit(self, key: tuple[str, int], cause: str) -> None:
+        row = self.tasks.get(key)
+        if row is None or row["phase"] == "exited":
+            return
+        if row["phase"] in ("running", "saving"):
+            self.region.ended(self, key[0], cause)
+        self.tasks[key] = {"phase": "exited", "cause": cause}
+        self._changed.set()
+
+    async def serve(self, method: str, path: str, body: bytes, sender: str) -> tuple[int, bytes]:
+        if self.deaf or not self.up:
+            await asyncio.sleep(60.0)
+        message = json.loads(body)
+        if message["epoch"] < self.epoch or message["tenure"] != self.tenure:
+            return 409, self.report()
+        self.see_epoch(message["epoch"])
+        self.carry_out(message["orders"])
+        return 200, self.report()
+
+    def advance(self) -> None:
+        """What happens by itself: nothing while it hangs."""
+        now = self.region.now()
+        if not self.up or self.gone or self.name in self.region.network.hangs:
+            return
+        if now - self.answered > LEASE_S:
+            for key in list(self.tasks):
+                self.exit(key, "lease")
+            self.tasks.clear()
+            self.tenure += 1
+            self.answered = now
+            self._changed.set()
+        for key, row in list(self.tasks.items()):
+            if row["phase"] == "pulling" and now >= row["until"]:
+                spec = self.region.spec_of(key[0])
+                self.images.add(spec.image)
+                row["phase"] = "running"
+                row["until"] = now + self.region.run_s(key[0])
+                self._changed.set()
+                self.region.started(self, key[0])
+            if row["phase"] == "running" and now >= row["until"]:
+                self.exit(key, "done")
+            elif row["phase"] == "saving" and now >= row["until"]:
+                self.exit(key, "stopped")
+
+    def destroy(self) -> None:
+        for key in list(self.tasks):
+            self.exit(key, "gone")
+        self.gone = True
+        self.region.network.hosts.pop(self.address, None)
+
+    async def run(self, boot_s: float) -> None:
+        await asyncio.sleep(boot_s)
+        self.up = True
+        self.answered = self.region.now()
+        while not self.gone:
+            await self.region.network.awake(self.name)
+            if self.gone:
+                return
+            self.advance()
+            pause_s = await self._once()
+            self._changed.clear()
+            await asyncio.sleep(0.5)
+            try:
+                async with asyncio.timeout(pause_s):
+                    await self._changed.wait()
+            except TimeoutError:
+                pass
+
+    async def _once(self) -> float:
+        region = self.region
+        sent, tenure, name = region.now(), self.tenure, region.names[self.target]
+        body = self.report()
+        region.note_report(body)
+        if self.mute:
+            self.target = (self.target + 1) % len(region.names)
+            await asyncio.sleep(2.0)
+            return 1.0
+        try:
+            status, answer = await region.network.call(
+                self.name, "POST", f"http://{region.addresses[name]}/v1/report", body, 4.0
+            )
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            status, answer = 0, b""
+        if self.deaf or self.gone:
+            return REPORT_S
+        if status == 200:
+            decoded = json.loads(answer)
+            if decoded["epoch"] >= self.epoch and tenure == self.tenure:
+                self.see_epoch(decoded["epoch"])
+                self.answered = sent
+                self.carry_out(decoded["orders"])
+            return REPORT_S * region.rng.uniform(0.75, 1.25) - 0.5
+        steward = json.loads(answer).get("steward") if status == 421 else None
+        if steward in region.names and steward != name:
+            self.target = region.names.index(steward)
+            return 0.0
+        self.target = (self.target + 1) % len(region.names)
+        return 0.5
--- a/tests/test_withdrawing.py
+++ b/tests/test_withdrawing.py
@@ -13,7 +13,8 @@
 from mosswalk.store.records import Attempt, TaskChunk
 from mosswalk.wire.peers import Withdrawal, Withdrawals
 from tests.days import Trouble, play_day
-from tests.region import CANCEL_S, LEASE_S, Region
+from tests.outside import LEASE_S
+from tests.region import CANCEL_S, Region
 from tests.standins import FakeClock, spec
 from tests.virtual import play
 
