Count silence only from when the leader takes reports again after an outage

Ruled out: deaf machines (all came back within 2 s), leases (most had run out, but that ends tasks, not machines).

The test fails without the change.

--- a/mosswalk/fleet/steward.py
+++ b/mosswalk/fleet/steward.py
@@ -122,6 +122,8 @@
         self.cloud: CloudCaller | None = None
         self._leading = False
         self._since_us = 0
+        # Since when reports have been taken without a break: silence counts from then on only.
+        self._listening_us = 0
         # The epoch with which we began to lead: machines that have seen it hear us.
         self._first_epoch = 0
         self._ticked_us = 0
@@ -222,7 +224,7 @@
         if leads and not self._leading:
             log.info("leading in term %d", self._leadership.epoch())
             self._leading = True
-            self._since_us = self._ticked_us = self._clock.now_us()
+            self._since_us = self._ticked_us = self._listening_us = self._clock.now_us()
             self._first_epoch = self._leadership.epoch()
             # Nobody led before us, so nobody rented anything: no need to wait for the list.
             self._first = self._leadership.epoch() <= 1
@@ -295,7 +297,7 @@
     def cut_from_workers(self, elsewhere: int) -> bool:
         """Whether the workers can't reach this leader, but turn to others."""
         now_us = self._clock.now_us()
-        if not self._leading or now_us - self._since_us < TAKEOVER_US:
+        if not self._leading or now_us - self._listening_us < TAKEOVER_US:
             return False
         up = [m for m in self.book.machines.values() if m.phase == "up" and not m.releasing]
         heard = sum(1 for m in up if now_us - m.seen_us < self._report_us)
@@ -494,8 +496,12 @@
             # We were stopped ourselves, so others' silence tells nothing yet. Seen in a recorded
             # day: a leader woke after 20 s and released every machine, deposed as it was.
             log.info("was stopped for %.1f s", (now_us - self._ticked_us) / SECOND_US)
-            self._since_us = now_us
+            self._since_us = self._listening_us = now_us
         self._ticked_us = now_us
+        if not self._leadership.may_answer():
+            # We turn reports away ourselves. Seen on a recorded day: when the state service came
+            # back after 52 s, every machine was released as silent in that second.
+            self._listening_us = now_us
         if self.cloud is None or not self._leadership.may_answer():
             return
         types_us = _TYPES_US if self._priced else 2 * SECOND_US
@@ -510,7 +516,7 @@
                 self._rumour(name)
         self._offers.refresh()
         self._draw()
-        for machine, why in self._withdrawing.overdue(self._since_us):
+        for machine, why in self._withdrawing.overdue(self._listening_us):
             self._release(machine, why, served=False)
         self._suspect()
         self._telling.turn()
@@ -581,9 +587,9 @@
     def _suspect(self) -> None:
         """Release machines that say nothing, but not while workers look for their new leader."""
         now_us = self._clock.now_us()
-        if now_us - self._since_us < TAKEOVER_US or not self._leadership.may_start():
+        if now_us - self._listening_us < TAKEOVER_US or not self._leadership.may_start():
             return
-        for machine, why in self._suspects.turn(self._since_us):
+        for machine, why in self._suspects.turn(self._listening_us):
             self._release(machine, why)
 
     # The cloud.
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -136,7 +136,7 @@
     steward.cloud = SimpleNamespace(release=lambda names, served: released.extend(names))
     for machine in steward.book.machines.values():
         machine.zone = zone
-    steward._since_us = clock.us - 60 * S
+    steward._since_us = steward._listening_us = clock.us - 60 * S
     led.leadership.present = set()
     silent_us = steward._suspects.patience.lease_us + steward._suspects.patience.silent_us + 2 * S
     for _ in range(silent_us // S):
@@ -157,6 +157,26 @@
     assert len(released) == MACHINES - MACHINES * 6 // 7
 
 
+def test_a_leader_that_turned_reports_away_hears_the_machines_before_it_releases_any(led):
+    """Seen on a recorded day: an outage of 52 s ended, and in that second all were released."""
+    steward, clock, released = led.steward, led.clock, []
+    steward.cloud = SimpleNamespace(release=lambda names, served: released.extend(names))
+    led.leadership.may_answer = lambda: False
+    for _ in range(104):
+        clock.us += S // 2
+        steward._tick()
+    led.leadership.may_answer = lambda: True
+    clock.us += S // 2
+    steward._suspect()
+    assert released == []
+    clock.us += 8 * S
+    machines = list(steward.book.machines.values())
+    for machine in machines[5:]:
+        machine.seen_us = clock.us
+    steward._suspect()
+    assert sorted(released) == [machine.name for machine in machines[:5]]
+
+
 def test_a_leader_that_begins_while_the_cloud_is_down_uses_the_room_there_is_but_rents_none(led):
     steward = led.steward
     shapes = Raw(records.encode([shape(price=0.0, spot_price=0.0)]))
