--- a/tests/days.py
+++ b/tests/days.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Coroutine, Iterable
 from dataclasses import dataclass
 from typing import Any
 
@@ -66,14 +66,19 @@
     region.state.refused.discard(name)
 
 
+async def _block(table: dict[Any, asyncio.Event], keys: Iterable[Any], for_s: float) -> None:
+    """Have what the network looks up in a table wait, but for what waits there already."""
+    over = asyncio.Event()
+    fresh = [key for key in keys if key not in table]
+    table.update(dict.fromkeys(fresh, over))
+    await asyncio.sleep(for_s)
+    for key in fresh:
+        table.pop(key, None)
+    over.set()
+
+
 async def _hold(region: Region, trouble: Trouble, pairs: set[tuple[str, str]]) -> None:
-    healed = asyncio.Event()
-    fresh = pairs - region.network.holds.keys()
-    region.network.holds.update(dict.fromkeys(fresh, healed))
-    await asyncio.sleep(trouble.for_s)
-    for pair in fresh:
-        region.network.holds.pop(pair, None)
-    healed.set()
+    await _block(region.network.holds, pairs, trouble.for_s)
 
 
 async def _zone_cut(region: Region, trouble: Trouble) -> None:
@@ -136,15 +141,8 @@
     return busy[pick % 2 :: 2][:8]
 
 
-async def _hang(region: Region, trouble: Trouble, names: list[str] | None = None) -> None:
-    names = _few(region, trouble.pick) if names is None else names
-    fresh = [n for n in names if n not in region.network.hangs]
-    awake = asyncio.Event()
-    region.network.hangs.update(dict.fromkeys(fresh, awake))
-    await asyncio.sleep(trouble.for_s)
-    for name in fresh:
-        region.network.hangs.pop(name, None)
-    awake.set()
+async def _hang(region: Region, trouble: Trouble) -> None:
+    await _block(region.network.hangs, _few(region, trouble.pick), trouble.for_s)
 
 
 async def _freeze(region: Region, trouble: Trouble) -> None:
@@ -161,8 +159,8 @@
     awake.set()
 
 
-async def _flag(region: Region, trouble: Trouble, flag: str) -> None:
-    workers = [region.workers[n] for n in _few(region, trouble.pick)]
+async def _flag(region: Region, trouble: Trouble, flag: str, names: Iterable[str]) -> None:
+    workers = [region.workers[name] for name in names]
     for worker in workers:
         setattr(worker, flag, True)
     await asyncio.sleep(trouble.for_s)
@@ -171,21 +169,16 @@
 
 
 async def _deaf(region: Region, trouble: Trouble) -> None:
-    await _flag(region, trouble, "deaf")
+    await _flag(region, trouble, "deaf", _few(region, trouble.pick))
 
 
 async def _mute(region: Region, trouble: Trouble) -> None:
-    await _flag(region, trouble, "mute")
+    await _flag(region, trouble, "mute", _few(region, trouble.pick))
 
 
 async def _all_mute(region: Region, trouble: Trouble) -> None:
     """No worker can open a connection to any controller, while direct commands reach them."""
-    workers = list(region.workers.values())
-    for worker in workers:
-        worker.mute = True
-    await asyncio.sleep(trouble.for_s)
-    for worker in workers:
-        worker.mute = False
+    await _flag(region, trouble, "mute", region.workers)
 
 
 async def _slow_links(region: Region, trouble: Trouble) -> None:
