--- a/mosswalk/api/jobs.py
+++ b/mosswalk/api/jobs.py
@@ -14,7 +14,7 @@
 from mosswalk.actors import Clock
 from mosswalk.config import Settings, Team
 from mosswalk.jobs.admission import never_runs
-from mosswalk.jobs.state import Job, new_record, withdraw_change
+from mosswalk.jobs.state import Job, new_record, record_limits, withdraw_change
 from mosswalk.store import records
 from mosswalk.store.client import (
     ConflictError,
@@ -28,6 +28,7 @@
 from mosswalk.wire.cloud import MachineType
 from mosswalk.wire.peers import PollAnswer, Withdrawal
 from mosswalk.wire.users import (
+    GANG,
     JOB_ID,
     Failure,
     InvalidJobError,
@@ -69,6 +70,8 @@
     job_id = record.spec.id
     if record.phase == "withdrawn":
         return JobState(job_id, "withdrawn", record.done_count, record.live_count)
+    if record.completed():
+        return JobState(job_id, "done", record.done_count, 0)
     phase = "running" if record.live_count else "pending"
     return JobState(job_id, phase, record.done_count, record.live_count)  # type: ignore[arg-type]
 
@@ -86,7 +89,9 @@
         self._clock = clock
         self._rng = rng
         self._teams: Mapping[str, Team] = {team.name: team for team in settings.params.teams}
-        self._chunk = records.chunk_size(settings.params.state.value_kb)
+        self._limits = record_limits(settings.params.state)
+        # Whether all controllers can deal with gangs.
+        self.gangs_allowed: Callable[[], bool] = lambda: True
         # Asks another controller that the state service serves, while it does not serve this one.
         self.elsewhere: Callable[[str], Awaitable[PollAnswer | None]] | None = None
         # Tells the other controllers of a withdrawal.
@@ -193,6 +198,9 @@
         if reason is not None:
             known = await self._known(spec.id)
             return known or _error(422, reason)
+        if spec.kind == GANG and not self.gangs_allowed():
+            known = await self._known(spec.id)
+            return known or self._busy("gangs are taken once all controllers are upgraded")
         if self._writer.wait_s() > _SUBMIT_S / 2:
             # It would wait for nothing: told at once when to come back, it may be in time.
             known = await self._known(spec.id)
@@ -207,8 +215,12 @@
         if spec.id in self._final:
             return _state(200, self._describe(spec.id, self._final[spec.id]))
         key = records.job_key(spec.id)
-        record = new_record(spec, self._clock.wall_us(), self._chunk)
+        chunk = records.chunk_size(self._limits, spec)
+        record = new_record(spec, self._clock.wall_us(), chunk)
         value = records.encode(record)
+        if len(value) > self._limits.value_bytes:
+            log.error("%s: its description takes %d bytes", spec.id, len(value))
+            return self._busy("the description is larger than can be stored")
         change = Change({key: 0, records.final_key(spec.id): 0}, {key: Raw(value)}, impatient=True)
         for _ in range(_TRIES):
             try:
@@ -244,6 +256,8 @@
             record, version = found
             if record.phase == "withdrawn":
                 return _state(200, JobState(job_id, "withdrawn"))
+            if record.completed():
+                return _state(200, JobState(job_id, "done"))
             change = withdraw_change(Job(record, version), self._clock.wall_us())
             change.impatient = True
             try:
--- a/mosswalk/config/__init__.py
+++ b/mosswalk/config/__init__.py
@@ -22,6 +22,9 @@
 OPERATOR_FILE_VARIABLE = "MOSSWALK_HCL"
 OPERATOR_SUFFIX = ".hcl"
 
+# A job's end takes two writes.
+_LEAST_TXN_OPS = 2
+
 
 class SettingsError(Exception):
     """The settings can't be used; the text names the file and the field."""
@@ -67,6 +70,18 @@
     report_s: float
     lease_s: float
     cancel_s: float
+    # How long a gang's task waits for the others, and how soon it notices that one is gone.
+    gang_wait_s: float = 60.0
+    gang_peer_s: float = 5.0
+
+
+class NextStateLimits(Struct, frozen=True):
+    """Limits that the state service will have from an unannounced moment on; None: unchanged."""
+
+    rps: float | None = None
+    write_rps: float | None = None
+    value_kb: float | None = None
+    txn_ops: int | None = None
 
 
 class StateLimits(Struct, frozen=True):
@@ -76,6 +91,18 @@
     write_rps: float
     value_kb: float
     txn_ops: int
+    next: NextStateLimits | None = None
+
+    def lowest(self) -> StateLimits:
+        """The limits that hold whether or not the next ones are in force already."""
+        if self.next is None:
+            return self
+        lowered = {
+            name: min(getattr(self, name), limit)
+            for name in NextStateLimits.__struct_fields__
+            if (limit := getattr(self.next, name)) is not None
+        }
+        return msgspec.structs.replace(self, next=None, **lowered)
 
 
 class CloudLimits(Struct, frozen=True):
@@ -157,8 +184,8 @@
         rps=state.rps, write_rps=state.write_rps, value_kb=state.value_kb, txn_ops=state.txn_ops,
     )  # fmt: skip
     _positive(path, "params.cloud", rps=params.cloud.rps)
-    if state.txn_ops < 2:
-        raise SettingsError(f"{path}: params.state.txn_ops: must be at least 2")
+    if state.txn_ops < _LEAST_TXN_OPS:
+        raise SettingsError(f"{path}: params.state.txn_ops: must be at least {_LEAST_TXN_OPS}")
     if workers.cancel_s <= workers.lease_s:
         # A withdrawn task in a cut zone can only be relied on to die by its lease.
         raise SettingsError(f"{path}: params.workers.cancel_s: must be above lease_s")
@@ -187,6 +214,13 @@
     return beside if beside.exists() else None
 
 
+def _with_lowest_limits(settings: Settings) -> Settings:
+    """Settings that keep to the state service's limits of now and of later, whichever is lower."""
+    state = settings.params.state.lowest()
+    params = msgspec.structs.replace(settings.params, state=state)
+    return msgspec.structs.replace(settings, params=params)
+
+
 def load(path: Path, operator_path: Path | None = None) -> Settings:
     """Read and check the settings; SettingsError names what is wrong."""
     try:
@@ -199,6 +233,8 @@
     except msgspec.ValidationError as error:
         raise SettingsError(f"{path}: {error}") from None
     _check(path, settings)
+    settings = _with_lowest_limits(settings)
+    _check(path, settings)
     operator_path = operator_path or _operator_path(path)
     if operator_path is not None:
         try:
--- a/mosswalk/fleet/offers.py
+++ b/mosswalk/fleet/offers.py
@@ -250,6 +250,20 @@
         for name in self._reserved:
             self.touch(name)
 
+    @staticmethod
+    def _add_slot(slots: dict[tuple[str, str], SlotOffer], job: Job, room: Room) -> None:
+        """Offer a task's part of a room to its team."""
+        key = (job.spec.team, room.machine)
+        before = slots.get(key)
+        slots[key] = SlotOffer(
+            room.machine, room.type, room.zone, room.spot, room.tenure,
+            job.cpus + (before.cpus if before else 0),
+            job.gpus + (before.gpus if before else 0),
+            job.memory + (before.memory if before else 0),
+            tuple(room.images), room.core_price,
+            room.fetch_s_per_gb,
+        )  # fmt: skip
+
     def plan(self) -> list[tuple[str, Offer]]:
         """Offer free room to the teams in turn: a message for each owner that gets some."""
         term = self._leadership.term
@@ -274,17 +288,8 @@
         ]  # fmt: skip
         slots: dict[tuple[str, str], SlotOffer] = {}
         for placing in serve_in_turn(queues, rooms, self._shares):
-            team, room, job = placing.job.spec.team, placing.room, placing.job
-            key = (team, room.machine)
-            before = slots.get(key)
-            slots[key] = SlotOffer(
-                room.machine, room.type, room.zone, room.spot, room.tenure,
-                job.cpus + (before.cpus if before else 0),
-                job.gpus + (before.gpus if before else 0),
-                job.memory + (before.memory if before else 0),
-                tuple(room.images), room.core_price,
-                room.fetch_s_per_gb,
-            )  # fmt: skip
+            for _, room in placing.places():
+                self._add_slot(slots, placing.job, room)
         self._renting.note_stuck(queues)
         self._keep_room(queues, rooms)
         by_node: dict[str, dict[str, list[SlotOffer]]] = {}
--- a/mosswalk/fleet/orders.py
+++ b/mosswalk/fleet/orders.py
@@ -19,6 +19,9 @@
     "full": "refused",
     "in_use": "refused",
     "no_such": "refused",
+    # A gang's task that ended because of the others: not its machine's fault, nor its job's.
+    "mates_gone": "stopped",
+    "alone": "stopped",
 }
 
 
@@ -51,6 +54,7 @@
     attempts: Mapping[AttemptKey, Attempt],
     epoch: int,
     stop_grace: Callable[[str, int, int], float | None],
+    startable: Callable[[str], bool],
     *,
     may_start: bool,
     in_answer: bool,
@@ -58,9 +62,10 @@
     """Compare a report with the records.
 
     ``stop_grace`` gives the grace with which an attempt is to be stopped, or None if it is to
-    run. ``in_answer`` is false for the answer to /orders: such a report may have been made
-    before the worker carried out our last answer to its own report, so what it does not list
-    may be about to start.
+    run. ``startable`` tells whether a job's attempts may be started: not those of a gang that is
+    not recorded whole. ``in_answer`` is false for the answer to /orders: such a report may have
+    been made before the worker carried out our last answer to its own report, so what it does
+    not list may be about to start.
     """
     result = Judgement()
     listed: set[AttemptKey] = set()
@@ -100,7 +105,7 @@
             result.outcomes.append(Outcome(name, key[2], machine.name, "lost"))
         elif attempt.tenure == report.tenure:
             if stop_grace(*key) is None:
-                if may_start:
+                if may_start and startable(key[0]):
                     result.orders.append(Order("run", name, key[2]))
             elif (
                 in_answer
--- a/mosswalk/fleet/preempting.py
+++ b/mosswalk/fleet/preempting.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Container, Iterable
+from collections.abc import Container, Iterable, Mapping
 from dataclasses import replace
 
 from mosswalk.actors import Clock
@@ -11,12 +11,13 @@
 from mosswalk.fleet.book import Book
 from mosswalk.fleet.offers import Offers
 from mosswalk.jobs.board import AttemptKey, Board
-from mosswalk.jobs.state import Usage
+from mosswalk.jobs.state import PRIORITIES, Job, Usage
 from mosswalk.placement.preemption import Victim, choose_victims
 from mosswalk.placement.queues import shielded, within
 from mosswalk.placement.rooms import Room
 
 _MOST_VICTIMS = 16
+_IDLE_RANK = PRIORITIES.index("idle")
 
 
 class Preempting:
@@ -31,6 +32,10 @@
         self._offers = offers
         self._clock = clock
 
+    def _guaranteed(self, job: Job, usage: Mapping[str, Usage]) -> bool:
+        used = usage.get(job.spec.team) or Usage()
+        return within(self._teams[job.spec.team], used, job, limit=False)
+
     def victims(
         self, waiting: Iterable[WaitingTasks], stopping: Container[AttemptKey]
     ) -> list[Victim]:
@@ -40,9 +45,8 @@
             (w.job, w.count)
             for w in waiting
             if w.job.rank == 0
-            or (w.job.rank < 3 and within(self._teams[w.job.spec.team],
-                usage.get(w.job.spec.team) or Usage(), w.job, limit=False))
-        ]  # fmt: skip
+            or (w.job.rank < _IDLE_RANK and (w.job.is_gang or self._guaranteed(w.job, usage)))
+        ]
         if not stuck:
             return []
         wall_us = self._clock.wall_us()
@@ -59,7 +63,8 @@
                     continue
                 if key in stopping or not job.open:
                     room.take(job, -1)
-                elif job.rank > 0:
+                elif job.rank > 0 and not job.is_gang:
+                    # A gang would lose all of its tasks for the room of a few.
                     victim = Victim(job, attempt, shielded=shielded(job, wall_us))
                     running.setdefault(room.machine, []).append(victim)
         return choose_victims(
--- a/mosswalk/fleet/renting.py
+++ b/mosswalk/fleet/renting.py
@@ -20,6 +20,7 @@
     WaitingTasks,
 )
 from mosswalk.fleet.book import Book, Machine
+from mosswalk.jobs.admission import fits_type
 from mosswalk.jobs.board import Board
 from mosswalk.jobs.state import Job, Usage, milli_room
 from mosswalk.placement.queues import TeamQueue, most_within, within
@@ -28,6 +29,8 @@
 log = logging.getLogger(__name__)
 
 _CORDON_US = 2 * SECOND_US
+# How long machines for a gang are rented in one zone before the next is tried.
+_ZONE_TURN_US = 30 * SECOND_US
 
 
 class Renting:
@@ -46,6 +49,7 @@
         self._factory = Factory(self._tuning)
         self._stuck: dict[str, list[Job]] = {}
         self._stuck_since: dict[str, int] = {}
+        self._gang_zones: dict[str, list[str]] = {}
         self.cordoned: set[str] = set()
         self._to_cordon: set[str] = set()
         self._cordoned_us = -_CORDON_US
@@ -90,11 +94,40 @@
             patient = self._patient(job, guaranteed)
             count = most_within(team, own, job, min(job.pending_count(), 2000))
             own.add(job, count)
-            if count:
-                urgent = guaranteed or job.rank == 0
-                waiting.append(WaitingTasks(job, count, rule, patient, urgent))
+            if not count:
+                continue
+            if job.is_gang and job.spec.one_zone:
+                # Machines for a part of it in each zone would be of no use.
+                rule.add(self._zone_for(job), 0)
+            # A gang can't use the room that others leave bit by bit.
+            urgent = guaranteed or job.rank == 0 or job.is_gang
+            waiting.append(WaitingTasks(job, count, rule, patient, urgent))
+        self._gang_zones = {j: z for j, z in self._gang_zones.items() if j in self._stuck_since}
         return waiting
 
+    def _zone_for(self, job: Job) -> str:
+        """The zone to rent in for a gang that must be in one: where most machines are.
+
+        If it still waits after a while, there may be none to be had: another one's turn.
+        """
+        zones = self._gang_zones.get(job.id)
+        if not zones:
+            there = Counter(
+                m.zone for m in self._book.machines.values() if not m.releasing and not m.rumoured
+            )
+            fitting = {
+                zone
+                for shape in self._book.types.values()
+                if fits_type(job.spec, shape)
+                for zone in shape.zones
+                if job.spec.zone in (None, zone)
+            }
+            zones = sorted(fitting, key=lambda zone: (-there[zone], zone)) or [""]
+            self._gang_zones[job.id] = zones
+        now_us = self._clock.now_us()
+        waited_us = now_us - self._stuck_since.get(job.id, now_us)
+        return zones[waited_us // _ZONE_TURN_US % len(zones)]
+
     def _patient(self, job: Job, guaranteed: bool) -> bool:
         """Whether a job's tasks can wait for spot machines to come free or be rented."""
         if not job.spec.spot or job.rank < 2 or guaranteed:
--- a/mosswalk/fleet/steward.py
+++ b/mosswalk/fleet/steward.py
@@ -9,7 +9,6 @@
 import asyncio
 import logging
 from collections.abc import Awaitable, Callable, Iterable
-from dataclasses import dataclass
 from typing import Protocol
 
 import aiohttp
@@ -37,12 +36,13 @@
 from mosswalk.fleet.preempting import Preempting
 from mosswalk.fleet.pushes import Pushes
 from mosswalk.fleet.renting import Renting
+from mosswalk.fleet.stopping import Stopping
 from mosswalk.fleet.suspects import TAKEOVER_US, Suspects
 from mosswalk.fleet.telling import OutcomeLink, Telling
 from mosswalk.fleet.upkeep import Upkeep
 from mosswalk.fleet.visitors import Visitors, cut_from_workers
 from mosswalk.fleet.withdrawing import Withdrawing
-from mosswalk.jobs.board import AttemptKey, Board
+from mosswalk.jobs.board import Board
 from mosswalk.jobs.state import Job, split_task_name, task_name
 from mosswalk.leadership.actor import Leadership
 from mosswalk.placement.owner import Owner
@@ -57,6 +57,8 @@
 log = logging.getLogger(__name__)
 
 _PLAN_GAP_US = 50_000
+# In these phases a task's image is on its machine.
+_HAS_IMAGE = ("running", "gathering")
 # A plan is followed by a pause this many times as long, so that reports and health checks,
 # which wait for nothing else, get most of the processor's time however long plans take.
 _PLAN_REST = 4
@@ -81,12 +83,6 @@
         """Offer room."""
 
 
-@dataclass(slots=True)
-class _Stop:
-    since_us: int
-    grace_s: float
-
-
 class Steward(Actor[Message]):
     """See the module."""
 
@@ -141,10 +137,13 @@
         self._plan_rest_us = 0
         self._upkeep = Upkeep(settings, mirror, board, writer, leadership)
         self._telling = Telling(board, leadership, owner, peers, self.spawn, clock)
-        self._stops: dict[AttemptKey, _Stop] = {}
+        self._stopping = Stopping(
+            settings, self.book, board, lambda machine, order: self._pushes.push(machine, order),
+            self._offers.quiet, clock,
+        )  # fmt: skip
         self._pushes = Pushes(
             self.book, board, leadership, session,
-            lambda machine, key: self._stop_grace(machine, key) is not None,
+            lambda machine, key: self._stopping.grace_s(machine, key) is not None,
             self.tell, self.spawn, clock,
             sockets(settings.params.machine_limits.max_connections).workers,
         )  # fmt: skip
@@ -166,6 +165,7 @@
         self._report_us = to_us(1.3 * workers.report_s)
         board.on_attempt.append(self._attempt_appeared)
         board.on_withdrawn.append(self._withdrawn)
+        board.on_gang_ending.append(self._gang_ending)
         mirror.after_batch(self._poke)
         leadership.on_term.append(lambda: self.tell(TermBegan()))
 
@@ -233,9 +233,7 @@
             self._asked_list_us = self._asked_types_us = -_TYPES_US
             for machine in list(self._board.by_machine):
                 self._rumour(machine)
-            for attempts in self._board.by_machine.values():
-                for key in attempts:
-                    self._stops.pop(key, None)
+            self._stopping.reset()
             self._orphans_us = -_ORPHANS_US
             self._tick()
         elif not leads and self._leading:
@@ -245,7 +243,7 @@
             self._renting.reset()
             self._offers.reset()
             self._telling.reset()
-            self._stops.clear()
+            self._stopping.reset()
             self._pushes.reset()
             self._late_starts.reset()
             self._suspects.reset()
@@ -337,8 +335,8 @@
         machine.tasks = tasks
         judgement = judge(
             machine, report, self._board.attempts_on(machine.name), self._leadership.epoch(),
-            lambda job_id, index, number: self._stop_grace(machine, (job_id, index, number)),
-            may_start=self._leadership.may_start(), in_answer=in_answer,
+            lambda job_id, index, number: self._stopping.grace_s(machine, (job_id, index, number)),
+            self._startable, may_start=self._leadership.may_start(), in_answer=in_answer,
         )  # fmt: skip
         # A report from before our time may be a late copy: it proves nothing.
         outcomes = judgement.outcomes if machine.hears else []
@@ -353,9 +351,23 @@
         for order in judgement.orders:
             log.debug("order to %s: %s", machine.name, order)
         if in_answer:
-            machine.told(self._leadership.epoch(), tuple(judgement.orders), now_us)
+            shown = tuple(order for order in judgement.orders if self._next_report_shows(order))
+            machine.told(self._leadership.epoch(), shown, now_us)
         return judgement.orders
 
+    def _startable(self, job_id: str) -> bool:
+        job = self._board.jobs.get(job_id)
+        return job is not None and job.startable
+
+    def _next_report_shows(self, order: Order) -> bool:
+        """Whether a machine's next report tells if it has carried out an order.
+
+        A gang's task that is being stopped may be reported as running until all of them exit.
+        """
+        split = split_task_name(order.task)
+        job = self._board.jobs.get(split[0]) if split is not None else None
+        return order.op != "kill" or job is None or not job.is_gang
+
     def _standing(self, machine: Machine) -> tuple[object, ...]:
         """All that a report can change of whether and how a machine is used, besides its tasks."""
         return (
@@ -406,7 +418,7 @@
                 continue
             split = split_task_name(task.task)
             job = self._board.jobs.get(split[0]) if split is not None else None
-            if task.phase == "running" and job is not None and shape is not None:
+            if task.phase in _HAS_IMAGE and job is not None and shape is not None:
                 machine.used_image(job.spec.image, job.spec.image_gb, shape.cache_gb)
             if task.phase != "exited" or split is None:
                 continue
@@ -424,22 +436,9 @@
             machine.distrusted = True
             self._release(machine, "fails its tasks")
 
-    def _stop_grace(self, machine: Machine, key: AttemptKey) -> float | None:
-        job = self._board.jobs.get(key[0])
-        if job is None or not job.open:
-            return 0.0
-        stop = self._stops.get(key)
-        if stop is not None:
-            overdue_us = to_us(stop.grace_s * 1.5 + 5.0)
-            return 0.0 if self._clock.now_us() - stop.since_us > overdue_us else stop.grace_s
-        if machine.notice_until_us is not None and job.spec.checkpoint_s > 0:
-            # The machine is about to be taken: save what can be saved.
-            return job.spec.save_s
-        return None
-
     def _attempt_appeared(self, name: str, job: Job, attempt: records.Attempt) -> None:
         """A placing is committed: start it without waiting for the machine's next report."""
-        if not self._leading or not self._leadership.may_start():
+        if not self._leading or not self._leadership.may_start() or not job.startable:
             return
         machine = self.book.machines.get(name)
         if machine is None or machine.tenure != attempt.tenure or machine.releasing:
@@ -450,6 +449,10 @@
         if self._leading:
             self._withdrawing.end(job)
 
+    def _gang_ending(self, job: Job) -> None:
+        if self._leading:
+            self._stopping.end_gang(job)
+
     def _push_done(self, message: PushDone) -> None:
         self._pushes.ended(message.machine)
         machine = self.book.machines.get(message.machine)
@@ -521,8 +524,8 @@
         self._suspect()
         self._telling.turn()
         self._late_starts.turn()
-        for key in [k for k in self._stops if not self._board.is_live(k)]:
-            del self._stops[key]
+        self._stopping.forget_settled()
+        self._save_gangs()
         for job_id in [j for j in self._failed_on if j not in self._board.jobs]:
             del self._failed_on[job_id]
         if now_us - self._orphans_us > _ORPHANS_US:
@@ -683,14 +686,14 @@
         if not self._leadership.may_start():
             return
         now_us = self._clock.now_us()
-        for victim in self._preempting.victims(waiting, self._stops):
+        for victim in self._preempting.victims(waiting, self._stopping):
             spec, attempt = victim.job.spec, victim.attempt
             grace_s = spec.save_s if worth_saving(spec) else 0.0
             claim_us = now_us + _CLAIM_US + to_us(grace_s)
             self._offers.claim(attempt.machine, claim_us, victim.wanted_by)
             log.info("stopping %s/%d attempt %d on %s for more urgent work",
                      spec.id, attempt.task, attempt.number, attempt.machine)  # fmt: skip
-            self._stop(victim.job, attempt, grace_s)
+            self._stopping.stop(victim.job, attempt, grace_s)
 
     def _move(self, waiting: list[WaitingTasks]) -> None:
         """Move replicas together, while nothing waits for room."""
@@ -699,14 +702,14 @@
         for job, attempt in self._moving.turn():
             log.info("moving %s/%d attempt %d off %s",
                      job.id, attempt.task, attempt.number, attempt.machine)  # fmt: skip
-            self._stop(job, attempt, 0.0)
-
-    def _stop(self, job: Job, attempt: records.Attempt, grace_s: float) -> None:
-        self._stops[(job.id, attempt.task, attempt.number)] = _Stop(self._clock.now_us(), grace_s)
-        machine = self.book.machines.get(attempt.machine)
-        if machine is not None:
-            order = Order("kill", task_name(job.id, attempt.task), attempt.number, grace_s)
-            self._pushes.push(machine, order)
+            self._stopping.stop(job, attempt, 0.0)
+
+    def _save_gangs(self) -> None:
+        """Stop gangs that would lose a machine to its notice, as long as all of them can save."""
+        for job in list(self._stopping.gangs_to_save()):
+            log.info("stopping %s, all %d tasks: a machine of it is to be taken",
+                     job.id, job.spec.tasks)  # fmt: skip
+            self._stopping.stop_gang(job)
 
     def _run_factory(self, waiting: list[WaitingTasks]) -> None:
         wanted, returned = self._renting.turn(
--- /dev/null
+++ b/mosswalk/fleet/stopping.py
@@ -0,0 +1,123 @@
+"""Which attempts the leader has decided to stop, and with how long a grace period.
+
+A gang counts as one: either every machine that runs a part of it is told at once, so that the
+whole gang can save, or none is.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
+
+from mosswalk.actors import SECOND_US, Clock, to_us
+from mosswalk.config import Settings
+from mosswalk.fleet.book import Book, Machine
+from mosswalk.jobs.board import AttemptKey, Board
+from mosswalk.jobs.state import Job, task_name
+from mosswalk.store.records import Attempt
+from mosswalk.wire.workers import Order
+
+# A task that has not saved by then, beyond its grace period, is ended.
+_OVERDUE_US = 5 * SECOND_US
+_OVERDUE_GRACE_PARTS = 1.5
+
+
+@dataclass(slots=True)
+class _Stop:
+    since_us: int
+    grace_s: float
+
+
+class Stopping:
+    """Attempts to be stopped, besides those of jobs that are over or cancelled."""
+
+    def __init__(
+        self, settings: Settings, book: Book, board: Board,
+        push: Callable[[Machine, Order], None], quiet: Callable[[Machine], bool], clock: Clock,
+    ) -> None:  # fmt: skip
+        self._book = book
+        self._board = board
+        self._push = push
+        self._quiet = quiet
+        self._clock = clock
+        self._gang_peer_us = to_us(settings.params.workers.gang_peer_s)
+        self._stops: dict[AttemptKey, _Stop] = {}
+
+    def __contains__(self, key: object) -> bool:
+        return key in self._stops
+
+    def reset(self) -> None:
+        """Forget all: another controller leads."""
+        self._stops.clear()
+
+    def forget_settled(self) -> None:
+        """Drop what the records don't show any more."""
+        for key in [k for k in self._stops if not self._board.is_live(k)]:
+            del self._stops[key]
+
+    def grace_s(self, machine: Machine, key: AttemptKey) -> float | None:
+        """The grace with which an attempt is to be stopped, or None if it is to run."""
+        job = self._board.jobs.get(key[0])
+        if job is None or not job.open:
+            return 0.0
+        stop = self._stops.get(key)
+        if stop is not None:
+            overdue_us = to_us(stop.grace_s * _OVERDUE_GRACE_PARTS) + _OVERDUE_US
+            if job.is_gang:
+                overdue_us += self._gang_peer_us
+            return 0.0 if self._clock.now_us() - stop.since_us > overdue_us else stop.grace_s
+        if job.ending:
+            return 0.0
+        noticed = machine.notice_until_us is not None
+        if noticed and job.spec.checkpoint_s > 0 and not job.is_gang:
+            # The machine is about to be taken: save what can be saved.
+            return job.spec.save_s
+        return None
+
+    def stop(self, job: Job, attempt: Attempt, grace_s: float) -> None:
+        """Stop one attempt."""
+        key = (job.id, attempt.task, attempt.number)
+        self._stops[key] = _Stop(self._clock.now_us(), grace_s)
+        self._kill(job, attempt, grace_s)
+
+    def _kill(self, job: Job, attempt: Attempt, grace_s: float) -> None:
+        machine = self._book.machines.get(attempt.machine)
+        if machine is None or machine.tenure != attempt.tenure or machine.releasing:
+            return
+        name = task_name(job.id, attempt.task)
+        reported = machine.tasks.get((name, attempt.number))
+        if reported is None or reported.phase != "exited":
+            self._push(machine, Order("kill", name, attempt.number, grace_s))
+
+    def end_gang(self, job: Job) -> None:
+        """A gang's attempt is over: end what is left of it, unless it is saving."""
+        for attempt in job.live():
+            if (job.id, attempt.task, attempt.number) not in self._stops:
+                self._kill(job, attempt, 0.0)
+
+    def gangs_to_save(self) -> Iterator[Job]:
+        """Gangs that are to save since one of their machines is about to be taken."""
+        for job in self._board.gangs.values():
+            if job.startable and job.spec.checkpoint_s > 0 and self._can_save(job):
+                yield job
+
+    def _can_save(self, job: Job) -> bool:
+        """Whether a machine of the gang is under notice, and all can be told while it lasts."""
+        now_us = self._clock.now_us()
+        noticed = False
+        for attempt in job.live():
+            if (job.id, attempt.task, attempt.number) in self._stops:
+                return False
+            machine = self._book.machines.get(attempt.machine)
+            if machine is None or machine.deaf_since_us is not None or self._quiet(machine):
+                return False
+            if machine.notice_until_us is not None:
+                if machine.notice_until_us - now_us < to_us(job.spec.save_s):
+                    return False
+                noticed = True
+        return noticed
+
+    def stop_gang(self, job: Job) -> None:
+        """Have a gang save and stop: all its tasks are told at once."""
+        for attempt in job.live():
+            self.stop(job, attempt, job.spec.save_s)
--- a/mosswalk/fleet/upkeep.py
+++ b/mosswalk/fleet/upkeep.py
@@ -63,9 +63,9 @@
             # When all keys are read anew, a new job's chunks may be seen before its header: only
             # the state service knows that there is none.
             guards = {records.TERM_KEY: self._leadership.term_version}
-            guards.update((records.job_key(job_id), 0) for job_id, _ in some)
+            guards.update((records.job_key(orphan.job), orphan.version) for orphan in some)
             try:
-                await self._writer.commit(Change(guards, {}, tuple(key for _, key in some)))
+                await self._writer.commit(Change(guards, {}, tuple(o.key for o in some)))
             except (ConflictError, RefusedError, UnknownOutcomeError) as error:
                 log.info("orphans not removed: %s", error)
                 return
--- a/mosswalk/jobs/admission.py
+++ b/mosswalk/jobs/admission.py
@@ -7,7 +7,7 @@
 from mosswalk.config import Team
 from mosswalk.jobs.state import milli, milli_room
 from mosswalk.wire.cloud import MachineType
-from mosswalk.wire.users import JobSpec
+from mosswalk.wire.users import ARRAY, GANG, JobSpec
 
 
 def fits_type(spec: JobSpec, machine: MachineType) -> bool:
@@ -23,6 +23,17 @@
     )
 
 
+def _zones_for_all(spec: JobSpec, types: tuple[MachineType, ...]) -> bool:
+    """Whether the zones that have fitting machines could hold all tasks at the same time."""
+    if not spec.spread or spec.tasks == 1:
+        return True
+    zones = {zone for machine in types if fits_type(spec, machine) for zone in machine.zones}
+    if spec.zone is not None:
+        zones &= {spec.zone}
+    # At most half of the tasks, rounded up, may be in one zone.
+    return not spec.one_zone and len(zones) > 1
+
+
 def never_runs(
     spec: JobSpec, types: tuple[MachineType, ...], teams: Mapping[str, Team]
 ) -> str | None:
@@ -32,7 +43,9 @@
         return f"owner: no team {spec.team}"
     if not any(fits_type(spec, machine) for machine in types):
         return "a task fits no allowed machine type"
-    count = spec.tasks if spec.kind == "daemon" else 1
+    if spec.kind == GANG and not _zones_for_all(spec, types):
+        return "no zones could hold all tasks together"
+    count = 1 if spec.kind == ARRAY else spec.tasks
     if team.cpus_max > 0 and count * milli(spec.cpus) > milli_room(team.cpus_max):
         return "cores: more than the team's limit"
     if team.gpus_max > 0 and count * milli(spec.gpus) > milli_room(team.gpus_max):
--- a/mosswalk/jobs/board.py
+++ b/mosswalk/jobs/board.py
@@ -4,6 +4,7 @@
 
 import logging
 from collections.abc import Callable, Iterable
+from typing import NamedTuple
 
 import msgspec
 
@@ -17,6 +18,14 @@
 AttemptKey = tuple[str, int, int]
 
 
+class Orphan(NamedTuple):
+    """A chunk that is no job's, and the version of the job's header by which that is known."""
+
+    job: str
+    version: int
+    key: str
+
+
 class Board:
     """Jobs by id, and live attempts by machine."""
 
@@ -28,12 +37,17 @@
         self.withdrawn: dict[str, Job] = {}
         self._usage: dict[str, Usage] = {}
         self.by_machine: dict[str, dict[AttemptKey, Attempt]] = {}
-        self._chunks: dict[str, dict[int, TaskChunk]] = {}
+        # By job, layout and number; only those of the layout that the header names are the job's.
+        self._chunks: dict[str, dict[tuple[int, int], TaskChunk]] = {}
         self._indexed: dict[tuple[str, int], tuple[Attempt, ...]] = {}
         # Called with (machine, job, attempt) when an attempt appears.
         self.on_attempt: list[Callable[[str, Job, Attempt], None]] = []
+        # Gangs of which attempts may be running.
+        self.gangs: dict[str, Job] = {}
         # Called with a job that was open and is withdrawn now.
         self.on_withdrawn: list[Callable[[Job], None]] = []
+        # Called with a gang whose attempt has just ended before it was done.
+        self.on_gang_ending: list[Callable[[Job], None]] = []
         # Called with a machine's name when what is placed on it has changed.
         self.on_machine: list[Callable[[str], None]] = []
         mirror.listen(records.JOB_PREFIX, self._job_changed)
@@ -78,6 +92,7 @@
             self._usage[old.spec.team].add(old, -old.record.live_count)
             self.unplaced[old.spec.team].pop(job_id, None)
             self.withdrawn.pop(job_id, None)
+            self.gangs.pop(job_id, None)
         if job is None:
             return
         self.jobs[job_id] = job
@@ -88,6 +103,8 @@
             self.withdrawn[job_id] = job
         elif job.pending_count() > 0:
             unplaced[job_id] = job
+        if job.is_gang and job.record.live_count > 0:
+            self.gangs[job_id] = job
 
     def usage(self) -> dict[str, Usage]:
         """What each team takes, by every attempt that may be running; the caller's to change."""
@@ -106,48 +123,81 @@
             log.error("job record %s can't be read: %s", key, error)
             return
         job = Job(record, version)
-        fresh: list[Attempt] = []
         before = self.jobs.get(job_id)
-        known = before is not None
-        for number, tasks in self._chunks.get(job_id, {}).items():
-            job.chunks[number] = tasks
-            if not known:
-                # When all keys are read anew, chunks come before their job's header. Unindexed,
-                # a leader just started would take their attempts for strays and kill them.
-                fresh += self._index(job_id, number, tasks.live)
+        for (layout, number), tasks in self._chunks.get(job_id, {}).items():
+            if layout == record.layout:
+                job.chunks[number] = tasks
         self._replace(job_id, job)
-        self._announce(job, [*self._index(job_id, 0, record.tasks.live), *fresh])
-        if before is not None and before.open and not job.open:
+        fresh: list[Attempt] = []
+        if before is None:
+            # When all keys are read anew, chunks come before their job's header. Unindexed, a
+            # leader just started would take their attempts for strays and kill them.
+            for number, tasks in job.chunks.items():
+                fresh += self._index(job_id, number, tasks.live)
+        if before is None or before.record.layout == record.layout:
+            self._announce(job, [*self._index(job_id, 0, record.tasks.live), *fresh])
+        else:
+            self._announce(job, self._index_anew(job_id, job))
+        self._tell_of_end(before, job)
+
+    def _index_anew(self, job_id: str, job: Job) -> list[Attempt]:
+        """Index a job whose layout has changed; the attempts that were not there before."""
+        known = {a for (j, _), live in self._indexed.items() if j == job_id for a in live}
+        for other, chunk in [k for k in self._indexed if k[0] == job_id]:
+            if chunk and chunk not in job.chunks:
+                self._index(other, chunk, ())
+        fresh = self._index(job_id, 0, job.record.tasks.live)
+        for number, tasks in job.chunks.items():
+            fresh += self._index(job_id, number, tasks.live)
+        # An attempt that moves to another chunk leaves the one it was in after it has come.
+        for attempt in job.live():
+            there = self.by_machine.setdefault(attempt.machine, {})
+            there[(job_id, attempt.task, attempt.number)] = attempt
+        return [attempt for attempt in fresh if attempt not in known]
+
+    def _tell_of_end(self, before: Job | None, job: Job) -> None:
+        if before is None:
+            return
+        if before.record.phase == "open" and job.record.phase != "open":
             for action in self.on_withdrawn:
                 action(job)
+        elif job.ending and not before.ending and job.open:
+            for action in self.on_gang_ending:
+                action(job)
 
     def _chunk_changed(self, key: str, value: bytes | None, _version: int) -> None:
-        job_id, _, text = key.removeprefix(records.CHUNK_PREFIX).partition("/")
-        number = int(text)
+        chunk = records.parse_chunk_key(key)
+        job_id, number = chunk.job, chunk.chunk
         chunks = self._chunks.setdefault(job_id, {})
         job = self.jobs.get(job_id)
+        current = job is not None and job.record.layout == chunk.layout
         if value is None:
-            chunks.pop(number, None)
+            chunks.pop((chunk.layout, number), None)
             if not chunks:
                 del self._chunks[job_id]
-            if job is not None:
+            if job is not None and current:
                 job.chunks.pop(number, None)
-            self._index(job_id, number, ())
+            if current or job is None:
+                self._index(job_id, number, ())
             return
         tasks = records.decode_chunk(value)
-        chunks[number] = tasks
-        if job is not None:
+        chunks[(chunk.layout, number)] = tasks
+        if job is not None and current:
             job.chunks[number] = tasks
             self._announce(job, self._index(job_id, number, tasks.live))
 
-    def orphans(self) -> list[tuple[str, str]]:
-        """Jobs that are over, each with a chunk of it that is left."""
-        return [
-            (job_id, records.chunk_key(job_id, number))
-            for job_id, chunks in self._chunks.items()
-            if job_id not in self.jobs
-            for number in chunks
-        ]
+    def orphans(self) -> list[Orphan]:
+        """Chunks that are no job's: of jobs that are over, or of a layout given up."""
+        found: list[Orphan] = []
+        for job_id, chunks in self._chunks.items():
+            job = self.jobs.get(job_id)
+            # Chunks named by the header's version are being written for its next layout.
+            kept = (job.record.layout, job.version) if job is not None else ()
+            for layout, number in chunks:
+                if layout not in kept:
+                    key = records.chunk_key(job_id, number, layout)
+                    found.append(Orphan(job_id, job.version if job is not None else 0, key))
+        return found
 
     def attempts_on(self, machine: str) -> dict[AttemptKey, Attempt]:
         """The live attempts on a machine."""
--- a/mosswalk/jobs/state.py
+++ b/mosswalk/jobs/state.py
@@ -12,11 +12,12 @@
 
 from msgspec import Raw, structs
 
+from mosswalk.config import StateLimits
 from mosswalk.store import records
-from mosswalk.store.records import Attempt, FinalRecord, JobRecord, TaskChunk
+from mosswalk.store.records import Attempt, FinalRecord, GangPhase, JobRecord, TaskChunk
 from mosswalk.store.writer import Change
 from mosswalk.wire.peers import Fate
-from mosswalk.wire.users import JobSpec
+from mosswalk.wire.users import ARRAY, GANG, JobSpec
 
 PRIORITIES = ("prod", "high", "standard", "idle")
 
@@ -68,13 +69,26 @@
         self.gpus = milli(spec.gpus)
         self.memory = milli(spec.memory_gb)
         self.rank = PRIORITIES.index(spec.priority)
+        self.is_gang = spec.kind == GANG
+        # How many of its tasks have to be placed in one go.
+        self.together = spec.tasks if self.is_gang else 1
         # Its place in its team's queue, with by whose aims and for which moment it was worked out.
         self.place_in_queue: tuple[object, int, tuple[int, bool, int, int, str]] | None = None
 
     @property
     def open(self) -> bool:
-        """Whether its tasks may start."""
-        return self.record.phase == "open"
+        """Whether its tasks may start, or go on."""
+        return self.record.phase == "open" and not self.record.completed()
+
+    @property
+    def startable(self) -> bool:
+        """Whether its attempts may be started: those of a gang only once all are recorded."""
+        return self.open and (not self.is_gang or self.record.gang == "placed")
+
+    @property
+    def ending(self) -> bool:
+        """Whether it is a gang whose attempt has lost a task, or was never placed whole."""
+        return self.record.gang == "ending"
 
     def due_us(self) -> int:
         """The wall time by which it should be done; the far future if it has no deadline."""
@@ -84,7 +98,9 @@
         return self.record.submitted_us + round(deadline_s * 1e6)
 
     def pending_count(self) -> int:
-        """Tasks that are neither done nor live."""
+        """Tasks to be placed: neither done nor live, and of a gang all or none."""
+        if self.is_gang and (self.record.live_count or self.record.completed()):
+            return 0
         return max(0, self.spec.tasks - self.record.done_count - self.record.live_count)
 
     def chunk_of(self, index: int) -> int:
@@ -143,13 +159,24 @@
         self.gpus += job.gpus * count
 
 
+@dataclass(slots=True, frozen=True)
+class Place:
+    """Where a task is to run."""
+
+    index: int
+    machine: str
+    tenure: int
+
+
 class Draft:
     """Changes to one job that become one commit."""
 
-    def __init__(self, job: Job, most_writes: int) -> None:
+    def __init__(self, job: Job, limits: records.RecordLimits) -> None:
         self.job = job
         self.record = job.record
-        self._most_chunks = most_writes - 2
+        # The header and, with the job's end, its final record are written too.
+        self._most_chunks = limits.txn_ops - 2
+        self._value_bytes = limits.value_bytes
         self._chunks: dict[int, TaskChunk] = {}
         self.placed: list[Attempt] = []
         self.settled: list[Attempt] = []
@@ -163,6 +190,17 @@
             return True
         return sum(1 for c in self._chunks if c) < self._most_chunks
 
+    def _has_room(self, chunk: int, tasks: TaskChunk, machine: str) -> bool:
+        """Whether a record with one more attempt is not larger than the service takes.
+
+        Where machines' names are short, it always is: tasks are few enough in a record.
+        """
+        if len(tasks.live) * records.LONGEST_USUAL_ROW < self._value_bytes // 4:
+            return True
+        rows = sum(records.row_bytes(a.machine) for a in tasks.live) + records.row_bytes(machine)
+        header = records.header_bytes(self.record.spec) if chunk == 0 else 0
+        return rows + len(tasks.done) + header <= self._value_bytes
+
     def settle(self, index: int, number: int, fate: Fate) -> bool:
         """Take an attempt out; whether it was there and could be."""
         chunk = self.job.chunk_of(index)
@@ -171,8 +209,10 @@
         if gone is None or not self._may_touch(chunk):
             return False
         done = tasks.done
+        if self.job.is_gang:
+            self._settle_gang(fate)
         # A completed replica of a service has no business ending: it is started again.
-        if fate == "done" and self.record.spec.kind == "array":
+        elif fate == "done" and self.record.spec.kind == ARRAY:
             mask = tasks.done_mask()
             bit = 1 << (index - chunk * self.record.chunk)
             if not mask & bit:
@@ -184,8 +224,43 @@
         self.settled.append(gone)
         return True
 
-    def place(self, index: int, machine: str, tenure: int, term: int) -> Attempt | None:
+    def _settle_gang(self, fate: Fate) -> None:
+        """One task of a gang is gone: either all are done, or the attempt is over for all."""
+        if self.record.completed():
+            return
+        if fate == "done":
+            self.record = structs.replace(self.record, done_count=self.record.spec.tasks)
+        self.record = structs.replace(self.record, gang="ending")
+
+    def end_gang(self) -> None:
+        """Give up a gang's attempt: its tasks are stopped, and all are placed anew."""
+        self.record = structs.replace(self.record, gang="ending")
+
+    def place_gang(self, places: list[Place], term: int) -> list[Place]:
+        """Add a gang's attempts, all with one number; those that don't fit one commit are left.
+
+        Nothing may start until the last one is recorded.
+        """
+        if self.record.live_count == 0:
+            number = self.record.next_attempt
+            self.record = structs.replace(self.record, next_attempt=number + 1)
+        else:
+            number = self.record.next_attempt - 1
+        left = [place for place in places if self._add(place, number, term) is None]
+        phase: GangPhase = "placed" if self.record.live_count == self.job.spec.tasks else "placing"
+        self.record = structs.replace(self.record, gang=phase)
+        return left
+
+    def place(self, place: Place, term: int) -> Attempt | None:
         """Add an attempt for a pending task; None if it is not pending or does not fit here."""
+        attempt = self._add(place, self.record.next_attempt, term)
+        if attempt is not None:
+            number = self.record.next_attempt + 1
+            self.record = structs.replace(self.record, next_attempt=number)
+        return attempt
+
+    def _add(self, place: Place, number: int, term: int) -> Attempt | None:
+        index = place.index
         if self.record.phase != "open" or not 0 <= index < self.record.spec.tasks:
             return None
         chunk = self.job.chunk_of(index)
@@ -195,26 +270,27 @@
         # The rule ran_twice: a task with an attempt that may be running gets no other.
         if any(a.task == index for a in tasks.live) or not self._may_touch(chunk):
             return None
-        attempt = Attempt(index, self.record.next_attempt, machine, tenure, term)
+        if not self._has_room(chunk, tasks, place.machine):
+            return None
+        attempt = Attempt(index, number, place.machine, place.tenure, term)
         self._chunks[chunk] = TaskChunk(tasks.done, (*tasks.live, attempt))
-        self.record = structs.replace(
-            self.record,
-            next_attempt=self.record.next_attempt + 1,
-            live_count=self.record.live_count + 1,
-        )
+        self.record = structs.replace(self.record, live_count=self.record.live_count + 1)
         self.placed.append(attempt)
         return attempt
 
     def changed(self) -> bool:
         """Whether there is anything to commit."""
-        return bool(self.placed or self.settled) or self.final() is not None
+        return self.record is not self.job.record or bool(self._chunks) or self.final() is not None
 
     def final(self) -> FinalRecord | None:
         """What is kept of the job if these changes end it."""
         record = self.record
-        if record.done_count >= record.spec.tasks:
+        if record.live_count > 0:
+            # A gang is done with its first task that is; the others must have gone all the same.
+            return None
+        if record.completed():
             return FinalRecord("done", record.done_count)
-        if record.phase == "withdrawn" and record.live_count == 0:
+        if record.phase == "withdrawn":
             return FinalRecord("withdrawn", record.done_count)
         return None
 
@@ -235,10 +311,15 @@
         puts = {key: Raw(records.encode(record))}
         for chunk, tasks in self._chunks.items():
             if chunk:
-                puts[records.chunk_key(job_id, chunk)] = Raw(records.encode(tasks))
+                puts[records.chunk_key(job_id, chunk, record.layout)] = Raw(records.encode(tasks))
         return Change(all_guards, puts)
 
 
+def record_limits(state: StateLimits) -> records.RecordLimits:
+    """What the state service's limits mean for records."""
+    return records.RecordLimits(int(state.value_kb * 1024), state.txn_ops)
+
+
 def new_record(spec: JobSpec, submitted_us: int, chunk: int) -> JobRecord:
     """The record of a job just submitted."""
     return JobRecord(spec, submitted_us, chunk)
--- a/mosswalk/leadership/actor.py
+++ b/mosswalk/leadership/actor.py
@@ -13,6 +13,7 @@
 from mosswalk.actors import Clock, to_us
 from mosswalk.config import Settings
 from mosswalk.leadership.terms import answer_bound_us, needs_new_term, next_term
+from mosswalk.leadership.upgrade import eligible, may_upgrade
 from mosswalk.store import records
 from mosswalk.store.client import (
     ConflictError,
@@ -59,7 +60,9 @@
         self.term_version = 0
         self._lead: Presence | None = None
         self._lead_version = 0
-        self.runs: dict[str, str] = {}
+        # Which controllers are up, as the state service shows them.
+        self.present: dict[str, Presence] = {}
+        self._controllers = (self.node, *(peer.host_name for peer in settings.known))
         self._runs_since_us = 0
         self._outbid = 0
         self._wanted_above = 0
@@ -103,7 +106,7 @@
 
     def present_in(self, zones: Mapping[str, str]) -> set[str]:
         """The zones in which a controller is up, given each one's zone."""
-        return {zones[node] for node in {*self.runs, self.node} if node in zones}
+        return {zones[node] for node in {*self.present, self.node} if node in zones}
 
     def may_start(self) -> bool:
         """Whether a leader may start tasks: only while it hears from the state service."""
@@ -116,6 +119,10 @@
             return None
         return self._lead.node
 
+    def gangs_allowed(self) -> bool:
+        """Whether every controller can deal with gangs; once it is so, it stays so."""
+        return self.term is not None and self.term.version >= records.GANG_VERSION
+
     def epoch(self) -> int:
         """The term."""
         return self.term.term if self.term is not None else 0
@@ -180,16 +187,19 @@
     def _node_changed(self, key: str, value: bytes | None, _version: int) -> None:
         node = key.removeprefix(records.NODE_PREFIX)
         if value is None:
-            self.runs.pop(node, None)
+            self.present.pop(node, None)
         else:
-            self.runs[node] = records.decode_presence(value).run
+            self.present[node] = records.decode_presence(value)
         self._runs_since_us = self._clock.now_us()
         self._wake.set()
 
     # The lease.
 
     def _me(self) -> Raw:
-        return Raw(records.encode(Presence(self.node, self.run_id)))
+        return Raw(records.encode(self._presence()))
+
+    def _presence(self) -> Presence:
+        return Presence(self.node, self.run_id, records.OUR_VERSION)
 
     async def _take_lease(self) -> None:
         asked_us = self._clock.now_us()
@@ -205,14 +215,15 @@
         A request of our last run may arrive late and write that run's presence over ours, on a
         lease about to end. Then others would take this run for dead: its teams would stand still.
         """
-        if self.runs.get(self.node) == self.run_id:
+        shown = self.present.get(self.node)
+        if shown is not None and shown.run == self.run_id:
             self._absent = 0
             return
         self._absent += 1
         if self._absent < 3 or self._lease is None:
             # The mirror may only be behind.
             return
-        log.info("our presence shows run %s: written again", self.runs.get(self.node))
+        log.info("our presence shows %s: written again", shown)
         await self._write_presence(self._lease)
         self._absent = 0
 
@@ -267,6 +278,9 @@
     async def _consider(self) -> None:
         now_us = self._clock.now_us()
         mine = self._lead is not None and self._lead.node == self.node
+        if self.term is not None and self.term.version > records.OUR_VERSION:
+            # The others can do more than we know of: following is all that is left to us.
+            return
         if self._hands_over:
             await self._give_up_lead()
         elif self._lead is None and now_us < self._yields_until_us:
@@ -280,16 +294,19 @@
             # Our last run led, and it is dead for certain: no need to wait for its lease.
             await self._stand("our last run led")
         elif mine and self.term is not None:
-            restarted = any(run != self.term.runs.get(node, run) for node, run in self.runs.items())
-            gone = any(node not in self.runs for node in self.term.runs)
+            up = self._up()
+            restarted = any(run != self.term.runs.get(node, run) for node, run in up.items())
+            gone = any(node not in up for node in self.term.runs)
             cut_off = self._unreachable & set(self.term.owners.values())
             settled = now_us - self._runs_since_us > _SETTLE_US
             wanted = max(self._outbid, self._wanted_above + 1) > self.term.term
             if wanted or (
-                needs_new_term(self.term, self._up(), self._unreachable)
+                needs_new_term(self.term, up, self._unreachable)
                 and (restarted or gone or cut_off or settled)
             ):
                 await self._stand("controllers changed")
+            elif may_upgrade(self.term, self._controllers, self.present):
+                await self._stand("all controllers have the new version", upgrade=True)
 
     async def _give_up_lead(self) -> None:
         """Free the leader's key; who takes it makes a new term, which outdates this one."""
@@ -305,21 +322,26 @@
         )
 
     def _up(self) -> dict[str, str]:
-        return {**self.runs, self.node: self.run_id}
+        """The runs that a term may name, ours whether or not its presence is visible yet."""
+        return eligible(self.term, {**self.present, self.node: self._presence()})
 
-    async def _stand(self, why: str) -> None:
+    async def _stand(self, why: str, *, upgrade: bool = False) -> None:
         if self._lease is None:
             return
         term = next_term(
-            self.term, self.node, self._up(), self._teams, self._outbid, self._unreachable
-        )
-        guards = (
+            self.term, self.node, self._up(), self._teams, self._outbid, self._unreachable,
+            records.OUR_VERSION if upgrade else records.FIRST_VERSION,
+        )  # fmt: skip
+        guards: tuple[wire.Guard, ...] = (
             wire.Guard(records.LEADER_KEY, self._lead_version),
             wire.Guard(records.TERM_KEY, self.term_version),
         )
+        if upgrade:
+            keys = [records.NODE_PREFIX + node for node in self._controllers]
+            guards += tuple(wire.Guard(key, self._mirror.version(key)) for key in keys)
         writes = (
             wire.Write(key=records.LEADER_KEY, value=self._me(), lease=self._lease),
-            wire.Write(key=records.TERM_KEY, value=Raw(records.encode(term))),
+            wire.Write(key=records.TERM_KEY, value=Raw(records.encode_term(term))),
         )
         log.info("standing for term %d: %s", term.term, why)
         revision = await self._client.commit(wire.Transaction(guards, writes))
--- a/mosswalk/leadership/terms.py
+++ b/mosswalk/leadership/terms.py
@@ -5,7 +5,7 @@
 from collections.abc import Collection, Iterable, Mapping
 
 from mosswalk.actors import to_us
-from mosswalk.store.records import TermRecord
+from mosswalk.store.records import FIRST_VERSION, TermRecord
 
 
 def answer_bound_us(lease_s: float, cancel_s: float) -> int:
@@ -54,6 +54,7 @@
     teams: Iterable[str],
     above: int = 0,
     unreachable: Collection[str] = (),
+    version: int = FIRST_VERSION,
 ) -> TermRecord:
     """The term in which ``leader`` leads the controllers that are up; beyond ``above`` too.
 
@@ -62,7 +63,9 @@
     number = max(current.term if current is not None else 0, above) + 1
     before = current.owners if current is not None else {}
     reached = [node for node in runs if node not in unreachable]
-    return TermRecord(number, leader, assign_teams(teams, leader, reached, before), dict(runs))
+    owners = assign_teams(teams, leader, reached, before)
+    version = max(version, current.version if current is not None else FIRST_VERSION)
+    return TermRecord(number, leader, owners, dict(runs), version)
 
 
 def needs_new_term(
--- a/mosswalk/placement/owner.py
+++ b/mosswalk/placement/owner.py
@@ -15,7 +15,8 @@
 from mosswalk.actors import SECOND_US, Clock
 from mosswalk.config import Settings, Team
 from mosswalk.jobs.board import Board
-from mosswalk.jobs.state import Draft, Job, Usage, split_task_name
+from mosswalk.jobs.layout import is_too_coarse, split
+from mosswalk.jobs.state import Draft, Job, Place, Usage, record_limits, split_task_name
 from mosswalk.leadership.actor import Leadership
 from mosswalk.placement.queues import TeamQueue, Urgency
 from mosswalk.placement.rooms import room_of
@@ -36,6 +37,11 @@
 # How long the outcomes of a hurried round may take to be written.
 _ROUND_S = 0.8
 _LEAST_IN_ROUND = 8
+# A gang's tasks are reported done within about this long of one another.
+_GANG_GATHER_US = 700_000
+# How often jobs are searched for records that are too large, and how many are split at once.
+_SEARCH_US = SECOND_US
+_MOST_SPLIT = 4
 
 
 @dataclass
@@ -58,7 +64,7 @@
         self._writer = writer
         self._leadership = leadership
         self._clock = clock
-        self._ops = settings.params.state.txn_ops
+        self._limits = record_limits(settings.params.state)
         self._write_rps = settings.params.state.write_rps
         self._most_settled = _LEAST_IN_ROUND
         self._urgency = Urgency(settings.params.objectives, settings.params.teams)
@@ -68,6 +74,9 @@
         self._gathered: dict[str, int] = {}
         self._offers: list[tuple[Offer, asyncio.Future[OfferAnswer]]] = []
         self._wake = asyncio.Event()
+        # Jobs whose records are to be split before anything else is written to them.
+        self._too_coarse: set[str] = set()
+        self._searched_us = 0
         self._avoid: dict[str, set[str]] = {}
         self._holds: dict[str, _Hold] = {}
 
@@ -114,7 +123,9 @@
         part = 1.0 / max(1, len(set(term.owners.values())))
         self._writer.share(part)
         self._most_settled = max(_LEAST_IN_ROUND, int(self._write_rps * part * _ROUND_S))
+        await self._split_records()
         drafts: dict[str, Draft] = {}
+        self._give_up_half_placed(drafts)
         self._apply_outcomes(drafts)
         for job in self._board.withdrawn.values():
             # One whose last attempt went while it was being withdrawn.
@@ -123,7 +134,8 @@
                 and job.id not in drafts
                 and self._leadership.owns(job.spec.team)
             ):
-                drafts[job.id] = Draft(job, self._ops)
+                drafts[job.id] = Draft(job, self._limits)
+        unwritten: dict[str, list[Place]] = {}
         placed_for: list[tuple[asyncio.Future[OfferAnswer], int]] = []
         usage = self._board.usage()
         zones: dict[str, str] = {}
@@ -139,12 +151,16 @@
                     if self._leadership.owns(slots.team) and slots.team in self._teams:
                         rooms = [room_of(slot) for slot in slots.slots]
                         placed += self._place_team(
-                            self._teams[slots.team], rooms, usage, zones, drafts, term.term
-                        )
+                            self._teams[slots.team], rooms, usage, zones, drafts, unwritten,
+                            term.term,
+                        )  # fmt: skip
             placed_for.append((future, placed))
         guards = {records.TERM_KEY: self._leadership.term_version}
         changes = [d.change(guards) for d in drafts.values() if d.changed()]
         revisions = await asyncio.gather(*(self._commit(c) for c in changes))
+        revisions += await asyncio.gather(
+            *(self._write_rest(job_id, left, term.term) for job_id, left in unwritten.items())
+        )
         self._mirror.batch_done()
         highest = max((r for r in revisions if r is not None), default=self._mirror.revision)
         for future, placed in placed_for:
@@ -157,12 +173,91 @@
                     draft.job.id, attempt.task, attempt.number, attempt.machine,
                 )  # fmt: skip
 
+    async def _split_records(self) -> None:
+        """Split what the state service would not take again; nothing else is written before."""
+        if not self._leadership.gangs_allowed():
+            # The other version could not read it. Limits are lowered after the upgrade only.
+            return
+        now_us = self._clock.now_us()
+        if now_us - self._searched_us >= _SEARCH_US:
+            self._searched_us = now_us
+            self._too_coarse = {
+                job.id for job in self._board.jobs.values() if is_too_coarse(job, self._limits)
+            }
+        jobs = [
+            job
+            for job_id in sorted(self._too_coarse)
+            if (job := self._board.jobs.get(job_id)) is not None
+            and self._leadership.owns(job.spec.team)
+            and is_too_coarse(job, self._limits)
+        ]
+        await asyncio.gather(*(self._split(job) for job in jobs[:_MOST_SPLIT]))
+
+    async def _split(self, job: Job) -> None:
+        guards = {
+            records.TERM_KEY: self._leadership.term_version,
+            records.job_key(job.id): job.version,
+        }
+        found = split(job, self._limits)
+        for change in found.changes(guards, self._limits.txn_ops):
+            if await self._commit(change) is None:
+                return
+        log.info("%s split into records of %d tasks", job.id, found.header.chunk)
+
+    def _is_too_coarse(self, job: Job) -> bool:
+        """Whether a job's records must be split before they are written again."""
+        if not self._leadership.gangs_allowed() or not is_too_coarse(job, self._limits):
+            return False
+        self._too_coarse.add(job.id)
+        self._wake.set()
+        return True
+
+    def _give_up_half_placed(self, drafts: dict[str, Draft]) -> None:
+        """End gangs' attempts of which only a part was written.
+
+        A round waits for all its commits, so whoever was writing the rest has failed or is gone.
+        """
+        for job in self._board.gangs.values():
+            if job.record.gang == "placing" and self._leadership.owns(job.spec.team):
+                log.info(
+                    "%s: attempt given up, only %d tasks placed", job.id, job.record.live_count
+                )
+                drafts[job.id] = Draft(job, self._limits)
+                drafts[job.id].end_gang()
+
+    async def _write_rest(self, job_id: str, left: list[Place], term: int) -> int | None:
+        """Write what of a gang's attempt did not fit its first commit."""
+        revision: int | None = None
+        while left:
+            job = self._board.jobs.get(job_id)
+            if job is None or job.record.gang != "placing" or not job.open:
+                break
+            draft = Draft(job, self._limits)
+            before = len(left)
+            left = draft.place_gang(left, term)
+            if len(left) == before:
+                break
+            revision = await self._commit(
+                draft.change({records.TERM_KEY: self._leadership.term_version})
+            )
+            if revision is None:
+                break
+        return revision
+
     def _may_wait(self, job: Job, outcomes: list[tuple[int, int, Outcome]]) -> bool:
         """Whether a job's outcomes may be written later, together with others to come.
 
         Not when the job ends by them, or when a task has to be placed again.
         """
-        if any(outcome.fate != "done" for _, _, outcome in outcomes) or not job.open:
+        if any(outcome.fate != "done" for _, _, outcome in outcomes):
+            return False
+        if job.is_gang and job.record.phase == "open":
+            # Its tasks complete together, so the others' reports are on their way.
+            if len(outcomes) >= job.record.live_count:
+                return False
+            now_us = self._clock.now_us()
+            return now_us - self._gathered.setdefault(job.id, now_us) < _GANG_GATHER_US
+        if not job.open:
             return False
         if job.record.done_count + len(outcomes) >= job.spec.tasks or self._writer.ample():
             return False
@@ -191,13 +286,13 @@
         for job_id, found in prod_first:
             job = self._board.jobs[job_id]
             full = hurried and len(drafts) >= self._most_settled
-            if full or self._may_wait(job, found):
+            if full or self._may_wait(job, found) or self._is_too_coarse(job):
                 self._outcomes.update({(o.task, number): o for _, number, o in found})
                 if full:
                     self._wake.set()
                 continue
             self._gathered.pop(job_id, None)
-            draft = drafts.setdefault(job_id, Draft(job, self._ops))
+            draft = drafts.setdefault(job_id, Draft(job, self._limits))
             for index, number, outcome in found:
                 if not draft.settle(index, number, outcome.fate):
                     # Too many chunks for one commit: the leader will tell us again.
@@ -237,13 +332,15 @@
 
     def _place_team(
         self, team: Team, rooms: list, usage: dict[str, Usage], zones: dict[str, str],  # type: ignore[type-arg]
-        drafts: dict[str, Draft], term: int,
+        drafts: dict[str, Draft], unwritten: dict[str, list[Place]], term: int,
     ) -> int:  # fmt: skip
         now_us = self._clock.now_us()
         held = {job_id: h for job_id, h in self._holds.items() if h.until_us > now_us}
         own = usage.setdefault(team.name, Usage())
         jobs = [
-            job for job in self._board.unplaced.get(team.name, {}).values() if job.id not in drafts
+            job
+            for job in self._board.unplaced.get(team.name, {}).values()
+            if job.id not in drafts and not self._is_too_coarse(job)
         ]
         queue = TeamQueue(
             team, jobs, own, zones, self._avoid, held, self._urgency, self._clock.wall_us()
@@ -254,9 +351,14 @@
         while len(drafts) < most and (placing := queue.place_one(rooms)) is not None:
             draft = drafts.get(placing.job.id)
             if draft is None:
-                draft = drafts[placing.job.id] = Draft(placing.job, self._ops)
-            room = placing.room
-            if draft.place(placing.index, room.machine, room.tenure, term) is not None:
+                draft = drafts[placing.job.id] = Draft(placing.job, self._limits)
+            places = [Place(i, room.machine, room.tenure) for i, room in placing.places()]
+            if placing.job.is_gang:
+                left = draft.place_gang(places, term)
+                if left:
+                    unwritten[placing.job.id] = left
+                placed += len(places)
+            elif draft.place(places[0], term) is not None:
                 placed += 1
         # Attempts settled in this round still count: their room shows in the next one.
         usage[team.name] = queue.usage
--- a/mosswalk/placement/preemption.py
+++ b/mosswalk/placement/preemption.py
@@ -8,7 +8,7 @@
 from mosswalk.config import Team
 from mosswalk.jobs.state import Job, Usage, milli_room
 from mosswalk.placement.queues import within
-from mosswalk.placement.rooms import Room, zone_rule
+from mosswalk.placement.rooms import Room, ZoneRule, new_zone_rule, zone_rule
 from mosswalk.store.records import Attempt
 from mosswalk.wire.users import JobSpec
 
@@ -52,6 +52,102 @@
     return team is not None and used.cpus - other.cpus >= milli_room(team.cpus)
 
 
+@dataclass(slots=True)
+class _Made:
+    """Room made for one task: whom to stop there."""
+
+    room: Room
+    victims: list[Victim]
+
+
+class _Choice:
+    """Victims chosen so far, and what the machines and the teams would have without them."""
+
+    def __init__(
+        self, rooms: Iterable[Room], running: Mapping[str, list[Victim]],
+        teams: Mapping[str, Team], usage: Mapping[str, Usage],
+    ) -> None:  # fmt: skip
+        self._teams = teams
+        self._spare = {room.machine: replace(room) for room in rooms}
+        # Least urgent first; of those, the ones that can save and the youngest.
+        self._left = {machine: sorted(victims, key=_order) for machine, victims in running.items()}
+        # At most this much could be freed on a machine: most are passed over by it.
+        self._freeable = {
+            machine: (sum(v.job.cpus for v in victims), sum(v.job.memory for v in victims))
+            for machine, victims in running.items()
+        }
+        self._used = {name: Usage(u.cpus, u.gpus) for name, u in usage.items()}
+        self.chosen: list[Victim] = []
+        self.looks = _MOST_LOOKS
+
+    def usage(self, team: str) -> Usage:
+        """What a team would take."""
+        return self._used.setdefault(team, Usage())
+
+    def make_room(self, job: Job, rule: ZoneRule, guaranteed: bool) -> _Made | None:
+        """Choose whom to stop for one more task of a job."""
+        self.looks -= 1
+        best: tuple[tuple[int, int, int], _Made] | None = None
+        for machine, room in self._spare.items():
+            cpus, memory = self._freeable.get(machine, (0, 0))
+            if room.cpus + cpus < job.cpus or room.memory + memory < job.memory:
+                continue
+            if not room.allows(job) or not rule.allows(room.zone):
+                continue
+            victims = self._left.get(machine, [])
+            picked = _fewest(job, room, victims, guaranteed, self._teams, self._used)
+            if picked is None:
+                continue
+            key = (
+                sum(1 for v in picked if v.job.spec.checkpoint_s <= 0),
+                len(picked),
+                -max((v.job.rank for v in picked), default=3),
+            )
+            if best is None or key < best[0]:
+                best = (key, _Made(room, picked))
+            if key == _NO_BETTER:
+                break
+        if best is None:
+            return None
+        made = best[1]
+        self._apply(job, made)
+        rule.add(made.room.zone)
+        return made
+
+    def _apply(self, job: Job, made: _Made) -> None:
+        machine = made.room.machine
+        for victim in made.victims:
+            made.room.take(victim.job, -1)
+            self._left[machine].remove(victim)
+            self._free(machine, victim.job, -1)
+            self.usage(victim.job.spec.team).add(victim.job, -1)
+            self.chosen.append(replace(victim, wanted_by=job.id))
+        made.room.take(job)
+        self.usage(job.spec.team).add(job)
+
+    def undo(self, job: Job, made: _Made) -> None:
+        """Take back the last choice."""
+        machine = made.room.machine
+        self.usage(job.spec.team).add(job, -1)
+        made.room.take(job, -1)
+        for victim in made.victims:
+            self.chosen.pop()
+            self.usage(victim.job.spec.team).add(victim.job)
+            self._free(machine, victim.job, 1)
+            self._left[machine].append(victim)
+            made.room.take(victim.job)
+        if made.victims:
+            self._left[machine].sort(key=_order)
+
+    def _free(self, machine: str, job: Job, count: int) -> None:
+        cpus, memory = self._freeable[machine]
+        self._freeable[machine] = (cpus + count * job.cpus, memory + count * job.memory)
+
+
+def _order(victim: Victim) -> tuple[int, bool, int]:
+    return (-victim.job.rank, victim.job.spec.checkpoint_s <= 0, -victim.attempt.number)
+
+
 def choose_victims(
     stuck: Iterable[tuple[Job, int]],
     rooms: Iterable[Room],
@@ -65,66 +161,42 @@
 
     ``rooms`` must already count what earlier victims will free, or each round would stop more.
     """
-    spare = {room.machine: replace(room) for room in rooms}
-    # Least urgent first; of those, the ones that can save and the youngest.
-    left = {
-        machine: sorted(
-            victims, key=lambda v: (-v.job.rank, v.job.spec.checkpoint_s <= 0, -v.attempt.number)
-        )
-        for machine, victims in running.items()
-    }
-    # At most this much could be freed on a machine: most are passed over by it.
-    freeable = {
-        machine: (sum(v.job.cpus for v in victims), sum(v.job.memory for v in victims))
-        for machine, victims in left.items()
-    }
-    used = {name: Usage(u.cpus, u.gpus) for name, u in usage.items()}
-    chosen: list[Victim] = []
-    looks = _MOST_LOOKS
+    choice = _Choice(rooms, running, teams, usage)
     for job, count in stuck:
         team = teams.get(job.spec.team)
         rule = zone_rule(job, zone_of)
         if team is None or rule is None:
             continue
-        own = used.setdefault(job.spec.team, Usage())
+        if job.is_gang:
+            if len(choice.chosen) < most and choice.looks >= job.spec.tasks:
+                _make_room_for_gang(choice, job, team)
+            continue
+        own = choice.usage(job.spec.team)
         for _ in range(count):
-            if len(chosen) >= most or looks <= 0 or not within(team, own, job, limit=True):
+            if len(choice.chosen) >= most or choice.looks <= 0:
+                break
+            if not within(team, own, job, limit=True):
                 break
-            looks -= 1
-            guaranteed = within(team, own, job, limit=False)
-            best: tuple[tuple[int, int, int], Room, list[Victim]] | None = None
-            for machine, room in spare.items():
-                cpus, memory = freeable.get(machine, (0, 0))
-                if room.cpus + cpus < job.cpus or room.memory + memory < job.memory:
-                    continue
-                if not room.allows(job) or not rule.allows(room.zone):
-                    continue
-                picked = _fewest(job, room, left.get(machine, []), guaranteed, teams, used)
-                if picked is None:
-                    continue
-                key = (
-                    sum(1 for v in picked if v.job.spec.checkpoint_s <= 0),
-                    len(picked),
-                    -max((v.job.rank for v in picked), default=3),
-                )
-                if best is None or key < best[0]:
-                    best = (key, room, picked)
-                if key == _NO_BETTER:
-                    break
-            if best is None:
+            if choice.make_room(job, rule, within(team, own, job, limit=False)) is None:
                 break
-            _, room, picked = best
-            for victim in picked:
-                room.take(victim.job, -1)
-                left[room.machine].remove(victim)
-                cpus, memory = freeable[room.machine]
-                freeable[room.machine] = (cpus - victim.job.cpus, memory - victim.job.memory)
-                used.setdefault(victim.job.spec.team, Usage()).add(victim.job, -1)
-                chosen.append(replace(victim, wanted_by=job.id))
-            room.take(job)
-            rule.add(room.zone)
-            own.add(job)
-    return chosen
+    return choice.chosen
+
+
+def _make_room_for_gang(choice: _Choice, job: Job, team: Team) -> None:
+    """Choose whom to stop for a whole gang; nobody if that would not make room for all of it."""
+    own = choice.usage(job.spec.team)
+    if not within(team, own, job, limit=True):
+        return
+    guaranteed = within(team, own, job, limit=False)
+    rule = new_zone_rule(job.spec)
+    made: list[_Made] = []
+    while len(made) < job.spec.tasks:
+        one = choice.make_room(job, rule, guaranteed)
+        if one is None:
+            for earlier in reversed(made):
+                choice.undo(job, earlier)
+            return
+        made.append(one)
 
 
 def _fewest(
--- a/mosswalk/placement/queues.py
+++ b/mosswalk/placement/queues.py
@@ -8,6 +8,7 @@
 from mosswalk.actors import to_us
 from mosswalk.config import Objective, Team
 from mosswalk.jobs.state import Job, Usage, milli_room
+from mosswalk.placement.gangs import rooms_for_gang
 from mosswalk.placement.rooms import Room, ZoneRule, best_room, zone_rule
 
 _UNTIMED_US = 600_000_000
@@ -104,16 +105,18 @@
 
 
 def within(team: Team, usage: Usage, job: Job, *, limit: bool) -> bool:
-    """Whether one more task keeps the team within its limit, or else its guarantee."""
+    """Whether one more task, or a whole gang, keeps the team within its limit or guarantee."""
     cpus, gpus = (team.cpus_max, team.gpus_max) if limit else (team.cpus, team.gpus)
+    cpus_after = usage.cpus + job.cpus * job.together
+    gpus_after = usage.gpus + job.gpus * job.together
     if limit:
-        return (cpus <= 0 or usage.cpus + job.cpus <= milli_room(cpus)) and (
-            gpus <= 0 or usage.gpus + job.gpus <= milli_room(gpus)
+        return (cpus <= 0 or cpus_after <= milli_room(cpus)) and (
+            gpus <= 0 or gpus_after <= milli_room(gpus)
         )
     return (
         cpus > 0
-        and usage.cpus + job.cpus <= milli_room(cpus)
-        and (job.gpus == 0 or usage.gpus + job.gpus <= milli_room(gpus))
+        and cpus_after <= milli_room(cpus)
+        and (job.gpus == 0 or gpus_after <= milli_room(gpus))
     )
 
 
@@ -123,7 +126,7 @@
         count = min(count, (milli_room(team.cpus_max) - usage.cpus) // job.cpus)
     if team.gpus_max > 0 and job.gpus > 0:
         count = min(count, (milli_room(team.gpus_max) - usage.gpus) // job.gpus)
-    return max(0, count)
+    return max(0, count) if count >= job.together else 0
 
 
 @dataclass(slots=True)
@@ -134,6 +137,22 @@
     index: int
     room: Room
 
+    def places(self) -> list[tuple[int, Room]]:
+        """Each task with its room."""
+        return [(self.index, self.room)]
+
+
+@dataclass(slots=True)
+class GangPlacing:
+    """All tasks of a gang, each put on a machine."""
+
+    job: Job
+    rooms: list[Room]
+
+    def places(self) -> list[tuple[int, Room]]:
+        """Each task with its room."""
+        return list(enumerate(self.rooms))
+
 
 class TeamQueue:
     """A team's jobs in order; gives one placing at a time until nothing more fits."""
@@ -190,8 +209,17 @@
         self._last = found if plain else None
         return found
 
-    def place_one(self, rooms: Iterable[Room]) -> Placing | None:
-        """Place the next task that fits somewhere, taking its room; None when none does."""
+    def _place_gang(self, job: Job, rooms: list[Room]) -> GangPlacing | None:
+        found = rooms_for_gang(job, rooms, self._avoid.get(job.id, set()))
+        if found is None:
+            return None
+        for room in found:
+            room.take(job)
+            self.usage.add(job)
+        return GangPlacing(job, found)
+
+    def place_one(self, rooms: list[Room]) -> Placing | GangPlacing | None:
+        """Place the next task or gang that fits, taking its room; None when none does."""
         while (job := self.head()) is not None:
             if not within(self.team, self.usage, job, limit=True):
                 # Held back by the limit, not by room: no reason to rent or preempt.
@@ -201,6 +229,14 @@
                     return None
                 self._skip()
                 continue
+            if job.is_gang:
+                gang = self._place_gang(job, rooms)
+                if gang is None:
+                    self.stuck.append(job)
+                self._skip()
+                if gang is None:
+                    continue
+                return gang
             if self._rule is None:
                 self._rule = zone_rule(job, self._zone_of)
                 if self._rule is None:
@@ -249,7 +285,7 @@
 
 def serve_in_turn(
     queues: Iterable[TeamQueue], rooms: list[Room], shares: Mapping[str, float]
-) -> Iterator[Placing]:
+) -> Iterator[Placing | GangPlacing]:
     """Give one placing at a time to the team whose turn it is."""
     waiting = [queue for queue in queues if queue.head() is not None]
     needs = [need for queue in waiting if (need := queue.least()) is not None]
--- a/mosswalk/placement/rooms.py
+++ b/mosswalk/placement/rooms.py
@@ -7,6 +7,7 @@
 
 from mosswalk.jobs.state import Job
 from mosswalk.wire.peers import SlotOffer
+from mosswalk.wire.users import JobSpec
 
 
 @dataclass(slots=True)
@@ -103,6 +104,11 @@
         self.counts[zone] = self.counts.get(zone, 0) + count
 
 
+def new_zone_rule(spec: JobSpec) -> ZoneRule:
+    """The rule for a job of which nothing runs."""
+    return ZoneRule(spec.one_zone, -(-spec.tasks // 2) if spec.spread else spec.tasks)
+
+
 def zone_rule(job: Job, zone_of: dict[str, str]) -> ZoneRule | None:
     """The rule for a job; None if the zone of one of its machines is not known yet.
 
@@ -110,9 +116,9 @@
     about zones then waits.
     """
     spec = job.spec
+    rule = new_zone_rule(spec)
     if not spec.one_zone and not spec.spread:
-        return ZoneRule(False, spec.tasks)
-    rule = ZoneRule(spec.one_zone, -(-spec.tasks // 2) if spec.spread else spec.tasks)
+        return rule
     for attempt in job.live():
         zone = zone_of.get(attempt.machine)
         if zone is None:
--- a/mosswalk/service.py
+++ b/mosswalk/service.py
@@ -81,6 +81,7 @@
             self.leadership.note_unreachable, self._visitors_elsewhere,
         )  # fmt: skip
         self.desk.elsewhere = self._poll_elsewhere
+        self.desk.gangs_allowed = self.leadership.gangs_allowed
         self.news = WithdrawalNews(
             [peer.host_name for peer in settings.known], self.peers,
             to_us(params.workers.cancel_s), clock, rng,
--- a/mosswalk/store/client.py
+++ b/mosswalk/store/client.py
@@ -22,6 +22,14 @@
     """The request was not carried out: 503, 429, or it could not be sent."""
 
 
+class ThrottledError(RefusedError):
+    """Refused with 429: more requests or changes a second than the service takes."""
+
+
+class InvalidRequestError(RefusedError):
+    """Refused with 400: a value or a transaction is larger than the service takes."""
+
+
 class UnknownOutcomeError(Exception):
     """No answer: the request may have been carried out, or may be later."""
 
@@ -86,8 +94,10 @@
             raise RefusedError(str(error)) from None
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             raise UnknownOutcomeError(str(error) or type(error).__name__) from None
-        if response.status in (503, 429):
-            raise RefusedError(f"status {response.status}")
+        if response.status == 429:
+            raise ThrottledError("status 429")
+        if response.status == 503:
+            raise RefusedError("status 503")
         return response.status, answer
 
     async def get(self, key: str) -> wire.Row | None:
@@ -119,6 +129,8 @@
         if status == 400 and b"lease" in answer:
             raise NoLeaseError
         log.error("state service: commit answered %d: %.200s", status, answer)
+        if status == 400:
+            raise InvalidRequestError("status 400")
         raise RefusedError(f"status {status}")
 
     async def grant(self, ttl_ms: int) -> int:
--- a/mosswalk/store/records.py
+++ b/mosswalk/store/records.py
@@ -19,6 +19,13 @@
 from mosswalk.wire.cloud import MachineType
 from mosswalk.wire.users import JobSpec, Phase
 
+encode = msgspec.json.encode
+
+# What a controller can do: the first version knows no gangs and no other layout of tasks.
+FIRST_VERSION = 1
+GANG_VERSION = 2
+OUR_VERSION = GANG_VERSION
+
 MIRROR = "m/"
 TERM_KEY = "m/term"
 LEADER_KEY = "m/lead"
@@ -28,16 +35,36 @@
 CHUNK_PREFIX = "m/c/"
 FINAL_PREFIX = "f/"
 
-# A live attempt's row takes at most this many bytes, and a header this many besides its tasks.
-_ROW_BYTES = 64
-_HEADER_BYTES = 4096
+# A live attempt's row takes this many bytes where machines' names are short, and a header this
+# many besides its tasks and the job as it was submitted.
+LONGEST_USUAL_ROW = 44
+_HEADER_BYTES = 320
 _MOST_IN_CHUNK = 256
+# What a row takes besides the machine's name.
+_ROW_FRAME_BYTES = 34
+
+
+def row_bytes(machine: str) -> int:
+    """The most that an attempt on a machine takes in a record."""
+    return _ROW_FRAME_BYTES + len(machine.encode())
+
+
+class RecordLimits(Struct, frozen=True):
+    """How large a record may be, and how many a transaction may write."""
 
+    value_bytes: int
+    txn_ops: int
 
-def chunk_size(value_kb: float) -> int:
-    """How many tasks fit a record, all of them live."""
-    room = int(value_kb * 1024) - _HEADER_BYTES
-    return max(8, min(_MOST_IN_CHUNK, room // _ROW_BYTES))
+
+def header_bytes(spec: JobSpec) -> int:
+    """The most that a job's header takes besides its tasks."""
+    return _HEADER_BYTES + len(encode(spec))
+
+
+def chunk_size(limits: RecordLimits, spec: JobSpec) -> int:
+    """How many tasks of a job fit a record, all of them live."""
+    room = limits.value_bytes - header_bytes(spec)
+    return max(1, min(_MOST_IN_CHUNK, room // LONGEST_USUAL_ROW))
 
 
 def job_key(job_id: str) -> str:
@@ -45,9 +72,25 @@
     return JOB_PREFIX + job_id
 
 
-def chunk_key(job_id: str, chunk: int) -> str:
+def chunk_key(job_id: str, chunk: int, layout: int = 0) -> str:
     """The key of a chunk beyond the header's own."""
-    return f"{CHUNK_PREFIX}{job_id}/{chunk:06d}"
+    suffix = f".{layout}" if layout else ""
+    return f"{CHUNK_PREFIX}{job_id}/{chunk:06d}{suffix}"
+
+
+class ChunkId(Struct, frozen=True):
+    """What a chunk's key says."""
+
+    job: str
+    chunk: int
+    layout: int
+
+
+def parse_chunk_key(key: str) -> ChunkId:
+    """A chunk's key taken apart; ValueError if it is none."""
+    job_id, _, text = key.removeprefix(CHUNK_PREFIX).partition("/")
+    chunk, _, layout = text.partition(".")
+    return ChunkId(job_id, int(chunk), int(layout or 0))
 
 
 def final_key(job_id: str) -> str:
@@ -76,6 +119,11 @@
         return int(self.done, 16)
 
 
+# placing: not all rows are written, nothing may start. placed: all are, and may start. ending: a
+# task was lost or the attempt is being stopped; nothing starts until every row is gone.
+GangPhase = Literal["", "placing", "placed", "ending"]
+
+
 class JobRecord(Struct, frozen=True, omit_defaults=True):
     """A job's header with its first tasks."""
 
@@ -89,6 +137,15 @@
     # When it was withdrawn, by the time of day of the controller that did it.
     withdrawn_us: int = field(name="w", default=0)
     tasks: TaskChunk = field(name="x", default=TaskChunk())
+    # Which chunks are the job's: a job that is split anew gets chunks under new keys, named by
+    # the header's version they were made from, and the header then names them.
+    layout: int = field(name="l", default=0)
+    # How far the current attempt of a gang has come; empty for other jobs.
+    gang: GangPhase = field(name="g", default="")
+
+    def completed(self) -> bool:
+        """Whether all its tasks are done, though some may not have been reported gone."""
+        return self.done_count >= self.spec.tasks
 
 
 class FinalRecord(Struct, frozen=True, omit_defaults=True):
@@ -106,6 +163,23 @@
     owners: dict[str, str]
     # The run of each controller that the term was made for.
     runs: dict[str, str] = {}
+    # What every controller of this term can do; never lowered.
+    version: int = FIRST_VERSION
+
+
+class _StoredTerm(Struct, frozen=True, omit_defaults=True):
+    """A term as it is stored.
+
+    From ``GANG_VERSION`` on the leader is stored under another name. A controller of the first
+    version can't decode a term without ``leader``: it never leads and owns no team.
+    """
+
+    term: int
+    owners: dict[str, str]
+    leader: str | None = None
+    fenced_leader: str | None = field(name="lead", default=None)
+    runs: dict[str, str] = {}
+    version: int = FIRST_VERSION
 
 
 class Presence(Struct, frozen=True):
@@ -113,12 +187,36 @@
 
     node: str
     run: str
+    version: int = FIRST_VERSION
 
 
-encode = msgspec.json.encode
 decode_job_record = msgspec.json.Decoder(JobRecord).decode
 decode_chunk = msgspec.json.Decoder(TaskChunk).decode
 decode_final = msgspec.json.Decoder(FinalRecord).decode
-decode_term = msgspec.json.Decoder(TermRecord).decode
+_decode_stored_term = msgspec.json.Decoder(_StoredTerm).decode
 decode_types = msgspec.json.Decoder(tuple[MachineType, ...]).decode
 decode_presence = msgspec.json.Decoder(Presence).decode
+
+
+def encode_term(term: TermRecord) -> bytes:
+    """A term's bytes, readable by the controllers that may act in it only."""
+    fenced = term.version >= GANG_VERSION
+    return encode(
+        _StoredTerm(
+            term.term,
+            term.owners,
+            leader=None if fenced else term.leader,
+            fenced_leader=term.leader if fenced else None,
+            runs=term.runs,
+            version=term.version,
+        )
+    )
+
+
+def decode_term(value: bytes) -> TermRecord:
+    """A term from its bytes."""
+    stored = _decode_stored_term(value)
+    leader = stored.fenced_leader if stored.leader is None else stored.leader
+    if leader is None:
+        raise msgspec.ValidationError("a term without a leader")
+    return TermRecord(stored.term, leader, stored.owners, stored.runs, stored.version)
--- a/mosswalk/store/writer.py
+++ b/mosswalk/store/writer.py
@@ -19,17 +19,23 @@
 from mosswalk.cloud.bucket import TokenBucket
 from mosswalk.store.client import (
     ConflictError,
+    InvalidRequestError,
     NoLeaseError,
     RefusedError,
     StateClient,
+    ThrottledError,
     UnknownOutcomeError,
 )
+from mosswalk.store.throttle import Throttle
 from mosswalk.wire import state as wire
 
 log = logging.getLogger(__name__)
 
 _MAX_BYTES = 60 * 1024
 _IN_FLIGHT = 4
+# How often, and how long apart, the guards of a transaction are looked at whose fate is open.
+_REJECTED_LOOKS = 20
+_REJECTED_PAUSE_S = 1.0
 
 
 class Change(Struct):
@@ -56,6 +62,8 @@
     def __init__(self, change: Change, future: asyncio.Future[int]) -> None:
         self.change = change
         self.future = future
+        # Its group was answered 400: it is committed by itself, so that only the culprit fails.
+        self.alone = False
 
 
 class GroupWriter:
@@ -70,6 +78,7 @@
         self._ops = txn_ops
         self._write_rps = write_rps
         self._part = 1.0
+        self._throttle = Throttle()
         self._burst = max(1.0, write_rps * 0.8)
         self._bucket = TokenBucket(write_rps, self._burst, clock.now_us())
         self._queue: deque[_Waiting] = deque()
@@ -89,7 +98,12 @@
         """Use this part of the writes: the service counts all controllers' together."""
         if part != self._part:
             self._part = part
-            self._bucket.change_rate(self._write_rps * part, self._clock.now_us())
+            self._adjust_rate()
+
+    def _adjust_rate(self) -> None:
+        now_us = self._clock.now_us()
+        rate = self._write_rps * self._part * self._throttle.factor(now_us)
+        self._bucket.change_rate(rate, now_us)
 
     def ample(self) -> bool:
         """Whether a write now would keep nobody waiting."""
@@ -119,6 +133,8 @@
             size += change.bytes()
             if group and (ops > self._ops or size > _MAX_BYTES or clash):
                 break
+            if group and (self._queue[0].alone or group[0].alone):
+                break
             if group and len(guards.keys() | change.guards.keys()) > 4 * self._ops:
                 break
             guards.update(change.guards)
@@ -152,6 +168,8 @@
             group = self._next_group()
             if not group:
                 continue
+            if self._throttle.changed(self._clock.now_us()):
+                self._adjust_rate()
             ops = sum(w.change.size() for w in group)
             wait_us = self._bucket.wait_us(self._clock.now_us(), max(ops, 0.1))
             if wait_us > 0:
@@ -182,7 +200,16 @@
             except NoLeaseError:
                 self._fail(group, RefusedError("no such lease"))
                 return
+            except InvalidRequestError as error:
+                if unknown:
+                    await self._settle_rejected(group, guards)
+                else:
+                    self._isolate(group, error)
+                return
             except RefusedError as error:
+                if isinstance(error, ThrottledError):
+                    self._throttle.refused(self._clock.now_us())
+                    self._adjust_rate()
                 if not unknown:
                     group = self._fail_impatient(group, error)
                     if not group:
@@ -205,6 +232,45 @@
             await asyncio.sleep(pause_s * self._rng.uniform(0.7, 1.3))
             pause_s = min(1.0, pause_s * 1.6)
 
+    async def _settle_rejected(self, group: list[_Waiting], guards: dict[str, int]) -> None:
+        """A transaction without an answer is turned down when it is sent again.
+
+        Limits were lowered in between, so the first copy may have been carried out, or may be
+        later. It can't be any more once one of its guards has changed.
+        """
+        impatient = [w for w in group if w.change.impatient]
+        self._fail(impatient, UnknownOutcomeError("turned down after no answer"))
+        for _ in range(_REJECTED_LOOKS):
+            rows = [await self._look(key) for key in guards]
+            failed = tuple(
+                k for k, v in zip(guards, rows, strict=True) if v not in (None, guards[k])
+            )
+            if failed:
+                self._fail(group, ConflictError(failed))
+                return
+            await asyncio.sleep(_REJECTED_PAUSE_S)
+        if len(impatient) < len(group):
+            # Nothing else outdates what was sent: the next run's new term does.
+            raise InvalidRequestError("a transaction of unknown outcome was turned down")
+
+    async def _look(self, key: str) -> int | None:
+        """A key's version, or None if it can't be told."""
+        try:
+            row = await self._client.get(key)
+        except (RefusedError, UnknownOutcomeError):
+            return None
+        return row.version if row is not None else 0
+
+    def _isolate(self, group: list[_Waiting], error: Exception) -> None:
+        """Fail a change that the service can't take; those of a group go again one by one."""
+        if len(group) == 1:
+            self._fail(group, error)
+            return
+        for waiting in group:
+            waiting.alone = True
+        self._queue.extendleft(reversed(group))
+        self._wake.set()
+
     def _fail(self, group: list[_Waiting], error: Exception) -> None:
         for waiting in group:
             if not waiting.future.done():
--- a/mosswalk/wire/users.py
+++ b/mosswalk/wire/users.py
@@ -18,7 +18,11 @@
 # Ids travel in URL paths and in store keys: nothing but this form may reach either.
 JOB_ID = re.compile(r"j-[0-9]{1,20}\Z")
 
-Kind = Literal["array", "daemon"]
+Kind = Literal["array", "daemon", "group"]
+ARRAY: Kind = "array"
+SERVICE: Kind = "daemon"
+# All tasks run at the same time or none does.
+GANG: Kind = "group"
 Priority = Literal["prod", "high", "standard", "idle"]
 Phase = Literal["pending", "running", "done", "withdrawn"]
 
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -10,10 +10,14 @@
 from msgspec import UNSET, Raw
 
 from mosswalk.store.client import ConflictError, NoLeaseError, RefusedError, UnknownOutcomeError
+from mosswalk.store.records import RecordLimits
 from mosswalk.wire import state as wire
 from mosswalk.wire.cloud import MachineType
 from mosswalk.wire.users import JobSpec
 
+# What the records of tests may take.
+LIMITS = RecordLimits(16 * 1024, 16)
+
 
 class FakeClock:
     """Time moves only when a test says so."""
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -78,7 +78,7 @@
             await leadership._restore_presence()
         store.end_lease(old)
         await mirror._follow()
-        assert leadership.runs[leadership.node] == leadership.run_id
+        assert leadership.present[leadership.node].run == leadership.run_id
         # Nothing is written when all is well.
         commits = client.commits
         for _ in range(5):
--- a/tests/test_jobs.py
+++ b/tests/test_jobs.py
@@ -8,13 +8,15 @@
 from mosswalk.config import Team
 from mosswalk.jobs.admission import never_runs
 from mosswalk.jobs.board import Board
-from mosswalk.jobs.state import Draft, Job, new_record, withdraw_change
+from mosswalk.jobs.state import Draft, Job, Place, new_record, withdraw_change
 from mosswalk.store import records
+from mosswalk.store.records import RecordLimits
 from mosswalk.store.writer import Change
-from tests.standins import shape, spec
+from tests.standins import LIMITS, shape, spec
 
 TASKS = 30
 OPS = 5
+FEW_OPS = RecordLimits(16 * 1024, OPS)
 
 
 class MirrorOf:
@@ -68,9 +70,9 @@
     @precondition(lambda self: self.job)
     @rule(picks=st.lists(st.integers(-1, TASKS), max_size=8), machine=st.sampled_from("pqr"))
     def place(self, picks, machine):
-        draft = Draft(self.job, OPS)
+        draft = Draft(self.job, FEW_OPS)
         for index in picks:
-            attempt = draft.place(index, machine, 1, 3)
+            attempt = draft.place(Place(index, machine, 1), 3)
             free = 0 <= index < TASKS and index not in self.live and index not in self.done
             if attempt is not None:
                 assert free and not self.withdrawn
@@ -84,7 +86,7 @@
     def settle(self, data, fate):
         index = data.draw(st.sampled_from(sorted(self.live)))
         attempt = self.live[index]
-        draft = Draft(self.job, OPS)
+        draft = Draft(self.job, FEW_OPS)
         assert draft.settle(index, attempt.number, fate)
         # The same message again, as the leader repeats it, changes nothing.
         assert not draft.settle(index, attempt.number, "done")
@@ -98,7 +100,7 @@
     @rule(data=st.data())
     def late_outcome(self, data):
         attempt = data.draw(st.sampled_from(self.old))
-        assert not Draft(self.job, OPS).settle(attempt.task, attempt.number, "done")
+        assert not Draft(self.job, FEW_OPS).settle(attempt.task, attempt.number, "done")
 
     @precondition(lambda self: self.job and not self.withdrawn)
     @rule(chance=st.integers(0, 9))
@@ -151,10 +153,10 @@
 
 
 def test_a_job_of_100000_tasks_fits_its_records():
-    size = records.chunk_size(16.0)
+    size = records.chunk_size(LIMITS, spec(tasks=100_000))
     job = Job(new_record(spec(tasks=100_000), 1 << 52, size), 1)
-    draft = Draft(job, 16)
-    placed = [draft.place(i, "vm-00123456", 100, 1 << 40) for i in range(15 * size)]
+    draft = Draft(job, LIMITS)
+    placed = [draft.place(Place(i, "vm-00123456", 100), 1 << 40) for i in range(15 * size)]
     change = draft.change({})
     assert change.size() <= 16
     assert sum(p is not None for p in placed) == 15 * size
@@ -163,11 +165,11 @@
 
 def test_a_replica_that_ends_is_started_again():
     job = Job(new_record(spec(kind="daemon", tasks=1), 0, 8), 1)
-    draft = Draft(job, 16)
-    attempt = draft.place(0, "vm-1", 1, 1)
+    draft = Draft(job, LIMITS)
+    attempt = draft.place(Place(0, "vm-1", 1), 1)
     draft.settle(0, attempt.number, "done")
     assert draft.final() is None and draft.record.done_count == 0
-    assert draft.place(0, "vm-2", 1, 1).number != attempt.number
+    assert draft.place(Place(0, "vm-2", 1), 1).number != attempt.number
 
 
 def test_what_can_never_run_is_told_from_what_can():
--- a/tests/test_offers.py
+++ b/tests/test_offers.py
@@ -12,7 +12,7 @@
 from mosswalk.fleet.offers import Offers
 from mosswalk.fleet.preempting import Preempting
 from mosswalk.jobs.board import Board
-from mosswalk.jobs.state import Draft, new_record
+from mosswalk.jobs.state import Draft, Place, new_record
 from mosswalk.placement.owner import Owner
 from mosswalk.placement.rooms import ZoneRule
 from mosswalk.store import records
@@ -20,7 +20,7 @@
 from mosswalk.store.writer import Change
 from mosswalk.wire.peers import Outcome
 from mosswalk.wire.workers import TaskReport
-from tests.standins import FakeClock, shape, spec
+from tests.standins import LIMITS, FakeClock, shape, spec
 from tests.test_config import write
 from tests.test_jobs import MirrorOf
 from tests.test_placement import job as placed
@@ -64,9 +64,9 @@
 
 
 def place(mirror, board, count, machine):
-    draft = Draft(next(iter(board.jobs.values())), 16)
+    draft = Draft(next(iter(board.jobs.values())), LIMITS)
     for index in range(count):
-        draft.place(index, machine, 1, 1)
+        draft.place(Place(index, machine, 1), 1)
     mirror.commit(draft.change({}))
 
 
@@ -122,7 +122,7 @@
     place(mirror, board, 3, "vm-0000")
     ample = False
     writer = SimpleNamespace(ample=lambda: ample, share=lambda part: None)
-    leadership = SimpleNamespace(owns=lambda team: True)
+    leadership = SimpleNamespace(owns=lambda team: True, gangs_allowed=lambda: False)
     owner = Owner(settings, mirror, board, writer, leadership, clock)
 
     def drafted(*outcomes):
@@ -152,10 +152,11 @@
     for i in range(40):
         priority = "prod" if i % 10 == 9 else "idle" if i % 2 else "standard"
         submit(mirror, id=f"j-{i:06d}", tasks=2, priority=priority)
-        draft = Draft(board.jobs[f"j-{i:06d}"], 16)
-        draft.place(0, "vm-0000", 1, 1)
+        draft = Draft(board.jobs[f"j-{i:06d}"], LIMITS)
+        draft.place(Place(0, "vm-0000", 1), 1)
         mirror.commit(draft.change({}))
-    owner = Owner(settings, mirror, board, None, SimpleNamespace(owns=lambda team: True), clock)
+    leadership = SimpleNamespace(owns=lambda team: True, gangs_allowed=lambda: False)
+    owner = Owner(settings, mirror, board, None, leadership, clock)
     owner.outcomes(SimpleNamespace(outcomes=[
         Outcome(f"j-{i:06d}/0", 1, "vm-0000", "lost") for i in range(40)]))  # fmt: skip
     drafts = {}
@@ -172,8 +173,8 @@
     owner._apply_outcomes(drafts)
     assert len(drafts) == owner._most_settled
     for job_id in prod:
-        draft = Draft(board.jobs[job_id], 16)
-        assert draft.place(0, "vm-0000", 1, 1) and draft.place(1, "vm-0000", 1, 1)
+        draft = Draft(board.jobs[job_id], LIMITS)
+        assert draft.place(Place(0, "vm-0000", 1), 1) and draft.place(Place(1, "vm-0000", 1), 1)
         mirror.commit(draft.change({}))
     drafts = {}
     owner._apply_outcomes(drafts)
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -24,7 +24,7 @@
 def look(tasks=(), attempts=ATTEMPT, tenure=2, epoch=7, stop=None, on=None, **changes):
     report = Report("vm-1", "h:1", "small", "a", tenure, 50, epoch, tasks=tuple(tasks))
     options = {"may_start": True, "in_answer": True, **changes}
-    return judge(on or machine(), report, attempts, 7, lambda *_: stop, **options)
+    return judge(on or machine(), report, attempts, 7, lambda *_: stop, lambda _: True, **options)
 
 
 def listed(phase, cause=None, attempt=4):
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -2,19 +2,19 @@
 from hypothesis import strategies as st
 
 from mosswalk.config import Objective, Team
-from mosswalk.jobs.state import Draft, Job, new_record
+from mosswalk.jobs.state import Draft, Job, Place, new_record
 from mosswalk.leadership.terms import assign_teams, needs_new_term, next_term
 from mosswalk.placement.preemption import Victim, choose_victims, worth_saving
 from mosswalk.placement.queues import TeamQueue, Urgency, Usage, serve_in_turn, shielded
 from mosswalk.placement.rooms import Room, room_to_keep, zone_rule
-from tests.standins import spec
+from tests.standins import LIMITS, spec
 
 
 def job(job_id="j-1", at_us=0, live=(), **changes):
     made = Job(new_record(spec(job_id, **changes), at_us, 256), 1)
-    draft = Draft(made, 16)
+    draft = Draft(made, LIMITS)
     for index, machine in enumerate(live):
-        draft.place(index, machine, 1, 1)
+        draft.place(Place(index, machine, 1), 1)
     record = draft.record
     from msgspec import structs
 
