Tests for gangs, versions side by side and lowered limits

A generated state machine of a gang's life, real controllers with gangs in all meetings of troubles, fixed bytes of every record and message read and written again by the production version's structs, the upgrade held back by one old controller and kept through a restart of all, jobs split between any two commits, limits lowered between a lost answer and its repetition.

--- a/tests/days.py
+++ b/tests/days.py
@@ -8,7 +8,7 @@
 from typing import Any
 
 from tests.outside import LEASE_S
-from tests.region import CANCEL_S, Region
+from tests.region import CANCEL_S, Region, need
 from tests.standins import spec
 from tests.virtual import play
 
@@ -194,6 +194,18 @@
         region.workers.pop(name).destroy()
 
 
+async def _notices(region: Region, trouble: Trouble) -> None:
+    """Spot machines are taken back, with notice."""
+    names = [n for n in _few(region, trouble.pick) if region.workers[n].spot]
+    for name in names:
+        region.workers[name].warning_s = trouble.for_s
+        region.workers[name].changed()
+    await asyncio.sleep(trouble.for_s)
+    for name in names:
+        if name in region.workers:
+            region.workers.pop(name).destroy()
+
+
 async def _late_writes(region: Region, trouble: Trouble) -> None:
     region.state.late_share = 0.3
     await asyncio.sleep(trouble.for_s)
@@ -277,6 +289,7 @@
     "leaders_change": _leaders_change,
     "machines_cut": _machines_cut,
     "mute": _mute,
+    "notices": _notices,
     "odd_requests": _odd_requests,
     "refused": _refused,
     "slow_links": _slow_links,
@@ -286,14 +299,18 @@
 }
 
 
-def _jobs(region: Region, count: int) -> list[tuple[Any, float]]:
+KINDS = ("array", "array", "array", "daemon")
+WITH_GANGS = (*KINDS, "group", "group", "group")
+
+
+def _jobs(region: Region, count: int, kinds: tuple[str, ...]) -> list[tuple[Any, float]]:
     rng = region.rng
     jobs = []
     for i in range(count):
-        kind = rng.choice(["array", "array", "array", "daemon"])
+        kind = rng.choice(kinds)
         changes = {
             "team": rng.choice(["red", "blue"]),
-            "tasks": rng.randint(1, 4) if kind == "daemon" else rng.choice([1, 2, 3, 6, 12]),
+            "tasks": rng.choice([1, 2, 3, 6, 12]) if kind == "array" else rng.randint(1, 4),
             "cpus": rng.choice([1.0, 2.0]), "spot": rng.random() < 0.6, "kind": kind,
             "one_zone": rng.random() < 0.35,
             "image": rng.choice(["img", "img2"]),
@@ -307,14 +324,16 @@
     return jobs
 
 
-async def _day(seed: int, troubles: list[Trouble], jobs: int, out: list[Region]) -> None:
+async def _day(
+    seed: int, troubles: list[Trouble], jobs: int, out: list[Region], kinds: tuple[str, ...]
+) -> None:
     region = Region(seed)
     out.append(region)
     region.start()
     await asyncio.sleep(FIRST_S)
 
     async def work() -> None:
-        for job, run_s in _jobs(region, jobs):
+        for job, run_s in _jobs(region, jobs, kinds):
             if await region.submit(job, run_s):
                 region.network.spawn(region.follow(job.id))
             await asyncio.sleep(region.rng.uniform(0.5, 4.0))
@@ -337,13 +356,15 @@
     for job_id in sorted(region.accepted):
         job = region.specs[job_id]
         phase, since = region.told[job_id]
-        since = max(since, region.at_limit.get((job.team, job.cpus), 0.0))
+        since = max(since, region.at_limit.get((job.team, need(job)), 0.0))
         if phase == "pending" and region.now() - since > WAIT_S:
             region.note("waits", f"{job_id} of {job.team}, {job.tasks} tasks")
 
 
-def play_day(seed: int, troubles: list[Trouble], jobs: int = 14) -> Region:
+def play_day(
+    seed: int, troubles: list[Trouble], jobs: int = 14, kinds: tuple[str, ...] = KINDS
+) -> Region:
     """Play a day; the region with what was broken and counted."""
     out: list[Region] = []
-    play(_day(seed, troubles, jobs, out))
+    play(_day(seed, troubles, jobs, out, kinds))
     return out[0]
--- a/tests/outside.py
+++ b/tests/outside.py
@@ -12,6 +12,7 @@
 
 from mosswalk.store.client import ConflictError, NoLeaseError
 from mosswalk.wire import state as wire
+from tests.gangs import GANG_WAIT_S
 from tests.standins import Store
 
 if TYPE_CHECKING:
@@ -163,6 +164,7 @@
         self.target = region.rng.randrange(len(region.names))
         self.answered = 0.0
         self.up = self.gone = self.deaf = self.mute = False
+        self.warning_s: float | None = None
         self.kept: list[bytes] = []
         self._changed = asyncio.Event()
         self._began = region.now()
@@ -176,7 +178,7 @@
         body = {
             "host": self.name, "addr": self.address, "build": self.kind, "yard": self.zone,
             "reclaimable": self.spot, "tenure": self.tenure, "tick": self.tick,
-            "epoch": self.epoch, "warning_s": None, "pieces": rows,
+            "epoch": self.epoch, "warning_s": self.warning_s, "pieces": rows,
         }  # fmt: skip
         return json.dumps(body).encode()
 
@@ -209,6 +211,10 @@
 
     def _stop(self, key: tuple[str, int], row: dict, grace_s: float) -> None:
         spec = self.region.spec_of(key[0])
+        if spec is not None and spec.kind == "group" and row["phase"] != "pulling":
+            if row["phase"] != "exited":
+                self.region.gangs.stop(self, key, grace_s)
+            return
         saves = spec is not None and spec.checkpoint_s > 0 and grace_s >= spec.save_s
         if saves and row["phase"] == "running":
             row["phase"], row["until"] = "saving", self.region.now() + spec.save_s
@@ -216,11 +222,14 @@
         elif not saves or row["phase"] != "saving":
             self.exit(key, "stopped")
 
+    def changed(self) -> None:
+        self._changed.set()
+
     def exit(self, key: tuple[str, int], cause: str) -> None:
         row = self.tasks.get(key)
         if row is None or row["phase"] == "exited":
             return
-        if row["phase"] in ("running", "saving"):
+        if row["phase"] in ("gathering", "running", "saving"):
             self.region.ended(self, key[0], cause)
         self.tasks[key] = {"phase": "exited", "cause": cause}
         self._changed.set()
@@ -255,6 +264,11 @@
                 row["until"] = now + self.region.run_s(key[0])
                 self._changed.set()
                 self.region.started(self, key[0])
+                if spec.kind == "group":
+                    row["phase"], row["until"] = "gathering", now + GANG_WAIT_S
+            if self.region.spec_of(key[0]).kind == "group":
+                # Its tasks go on together.
+                continue
             if row["phase"] == "running" and now >= row["until"]:
                 self.exit(key, "done")
             elif row["phase"] == "saving" and now >= row["until"]:
--- a/tests/region.py
+++ b/tests/region.py
@@ -33,6 +33,7 @@
 from mosswalk.wire.peers import Offer, Outcomes, Withdrawals
 from mosswalk.wire.users import JobSpec
 from mosswalk.wire.workers import Report
+from tests.gangs import GANG_PEER_S, GANG_WAIT_S, Gangs
 from tests.outside import LEASE_S, REPORT_S, StateService, Worker
 from tests.standins import shape
 from tests.virtual import PROCESS, Network, Session, VirtualClock
@@ -41,6 +42,11 @@
 TICK_S = 0.25
 
 
+def need(job: JobSpec) -> float:
+    """The cores that must be free within a team's limit before any task of a job can start."""
+    return job.cpus * (job.tasks if job.kind == "group" else 1)
+
+
 class Region:
     """Everything around the controllers, and the controllers."""
 
@@ -71,6 +77,7 @@
         self.at_limit: dict[tuple[str, float], float] = {}
         self.broken: list[str] = []
         self.counts: Counter[str] = Counter()
+        self.gangs = Gangs(self)
 
     def now(self) -> float:
         return self.loop.time()
@@ -148,7 +155,8 @@
                 if row["phase"] != "exited":
                     used[self.spec_of(task).team] += self.spec_of(task).cpus
         for name, team in self.teams.items():
-            for cpus in (1.0, 2.0):
+            gangs = {need(s) for s in self.specs.values() if s.kind == "group"}
+            for cpus in {1.0, 2.0} | gangs:
                 if 0 < team.cpus_max < used[name] + cpus:
                     self.at_limit[(name, cpus)] = self.now()
         for task, worker in self.on.items():
@@ -218,13 +226,14 @@
             self.state.tick()
             for worker in list(self.workers.values()):
                 worker.advance()
+            self.gangs.advance()
             self.check()
 
     def settings(self, name: str) -> Settings:
         zone = {n: "b" if n == self.names[-1] else "a" for n in self.names}
         return Settings(
             name, zone[name], self.addresses[name], f"{name}:8081", Outside("cloud:1", "state:1"),
-            Params(("a", "b"), WorkerLimits(REPORT_S, LEASE_S, CANCEL_S),
+            Params(("a", "b"), WorkerLimits(REPORT_S, LEASE_S, CANCEL_S, GANG_WAIT_S, GANG_PEER_S),
                    StateLimits(200.0, 40.0, 16.0, 16), CloudLimits(6.0, 4.0),
                    teams=tuple(self.teams.values()), machine_limits=MachineLimits()),
             tuple(Peer(n, zone[n], f"{n}:8081") for n in self.names if n != name), Tuning(),
--- a/tests/test_jobs.py
+++ b/tests/test_jobs.py
@@ -26,6 +26,7 @@
         self.listeners = []
         self.rows = {}
         self.revision = 0
+        self.ops = OPS
 
     def listen(self, prefix, listener):
         self.listeners.append((prefix, listener))
@@ -33,7 +34,7 @@
     def commit(self, change):
         for key, version in change.guards.items():
             assert self.rows.get(key, (None, 0))[1] == version
-        assert change.size() <= OPS
+        assert change.size() <= self.ops
         self.revision += 1
         for key, value in [*change.puts.items(), *((k, None) for k in change.deletes)]:
             if value is None:
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -92,7 +92,7 @@
 
 
 @st.composite
-def _meeting(draw):
+def meetings(draw):
     """A controller loses the state service, all do, and users cancel, in any order; and more.
 
     Where rules were seen to break, these came within seconds of each other.
@@ -113,6 +113,6 @@
 
 
 @settings(max_examples=50)
-@given(st.integers(0, 10**6), _meeting())
+@given(st.integers(0, 10**6), meetings())
 def test_no_rule_breaks_whatever_troubles_meet(seed, troubles):
     assert play_day(seed, troubles, jobs=10).broken == []
--- /dev/null
+++ b/tests/test_versions.py
@@ -0,0 +1,178 @@
+"""Old and new versions side by side, and on each other's data."""
+
+import asyncio
+
+import msgspec
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from msgspec import Raw
+
+from mosswalk.jobs.state import Draft, Job, Place, new_record, withdraw_change
+from mosswalk.leadership.terms import needs_new_term, next_term
+from mosswalk.leadership.upgrade import eligible, may_upgrade
+from mosswalk.store import records
+from mosswalk.store.records import GANG_VERSION, OUR_VERSION, Presence, TermRecord
+from mosswalk.wire import peers
+from mosswalk.wire import state as wire
+from tests.production import records as production
+from tests.standins import LIMITS, spec
+from tests.test_wire import jobs
+
+# As the version before gangs wrote them; each must be read, and written again, byte for byte.
+STORED = {
+    "JobRecord": b'{"s":{"ref":"j-000001","lane":"batch","owner":"red","shape":"array","rank":'
+    b'"standard","pieces":4,"cores":1.0,"cards":0.0,"ram_gb":1.0,"bundle":"img","image_gb":1.0,'
+    b'"same_place":false,"spread":false,"reclaimable":true,"expect_s":30.0,"savepoint_s":0.0,'
+    b'"flush_s":0.0,"due_s":90.0},"t":1700000000000000,"c":256,"p":"withdrawn","n":5,"k":1,"r":2,'
+    b'"w":1700000001000000,"x":{"d":"1","a":[[1,2,"vm-000001",1,3],[2,4,"vm-000002",2,3]]}}',
+    "TaskChunk": b'{"d":"ff","a":[[300,12,"vm-000009",1,7]]}',
+    "FinalRecord": b'{"p":"withdrawn","d":3}',
+}
+SENT = {
+    "Offer": peers.Offer(
+        3,
+        (peers.TeamOffer("red", (peers.SlotOffer("vm-1", "small", "a", True, 1, 5, 0, 9),)),),
+        {"vm-2": "b"},
+    ),
+    "OfferAnswer": peers.OfferAnswer(12, 3),
+    "Outcomes": peers.Outcomes(3, (peers.Outcome("j-000001/2", 4, "vm-1", "lost"),)),
+    "Sight": peers.Sight(True, 4),
+    "Withdrawals": peers.Withdrawals((peers.Withdrawal("j-000001", b"{}", 8),)),
+    "PollAnswer": peers.PollAnswer(200, b"{}"),
+}
+
+
+@pytest.mark.parametrize("name", STORED)
+def test_stored_records_keep_their_bytes(name):
+    for structs in (records, production):
+        read = msgspec.json.decode(STORED[name], type=getattr(structs, name))
+        assert records.encode(read) == STORED[name]
+
+
+@pytest.mark.parametrize("name", SENT)
+def test_messages_between_controllers_keep_their_bytes(name):
+    body = msgspec.msgpack.encode(SENT[name])
+    read = msgspec.msgpack.decode(body, type=getattr(production, name))
+    assert msgspec.msgpack.encode(read) == body
+    assert msgspec.msgpack.decode(body, type=getattr(peers, name)) == SENT[name]
+
+
+@given(jobs.filter(lambda job: job.kind != "group"), st.integers(1, 300), st.booleans())
+def test_a_job_goes_through_the_hands_of_both_versions_unchanged(job, chunk, withdrawn):
+    draft = Draft(Job(new_record(job, 5, chunk), 1), LIMITS)
+    draft.place(Place(0, "vm-000001", 1), 3)
+    change = draft.change({})
+    if withdrawn:
+        record = records.decode_job_record(bytes(change.puts[records.job_key(job.id)]))
+        change = withdraw_change(Job(record, 2), 7)
+    value = bytes(change.puts[records.job_key(job.id)])
+    rewritten = production.encode(production.decode(production.JobRecord, value))
+    assert records.decode_job_record(rewritten) == records.decode_job_record(value)
+    assert rewritten == value
+
+
+def test_the_old_version_reads_presences_and_terms_before_the_upgrade_only():
+    presence = records.encode(Presence("a", "run", OUR_VERSION))
+    assert production.decode(production.Presence, presence) == production.Presence("a", "run")
+    old = production.encode(production.Presence("a", "run"))
+    assert records.decode_presence(old) == Presence("a", "run", records.FIRST_VERSION)
+    term = TermRecord(4, "a", {"red": "b"}, {"a": "1", "b": "2"})
+    value = records.encode_term(term)
+    assert production.decode(production.TermRecord, value).owners == {"red": "b"}
+    assert production.encode(production.decode(production.TermRecord, value)) == (
+        b'{"term":4,"leader":"a","owners":{"red":"b"},"runs":{"a":"1","b":"2"}}'
+    )
+    assert records.decode_term(production.encode(production.TermRecord(4, "a", {}))).version == 1
+    upgraded = msgspec.structs.replace(term, version=GANG_VERSION)
+    assert records.decode_term(records.encode_term(upgraded)) == upgraded
+    # It can't tell who leads or which version the term has: it neither stands nor owns a team.
+    with pytest.raises(msgspec.ValidationError):
+        production.decode(production.TermRecord, records.encode_term(upgraded))
+
+
+presences = st.dictionaries(
+    st.sampled_from("abc"), st.builds(Presence, st.just("x"), st.sampled_from("pq"),
+                                      st.sampled_from([1, OUR_VERSION])),
+)  # fmt: skip
+
+
+@given(st.lists(presences, max_size=12))
+def test_the_upgrade_waits_for_all_and_is_never_taken_back(seen):
+    term = next_term(None, "a", {"a": "p"}, ["red", "blue"])
+    upgraded = False
+    for present in seen:
+        all_new = set(present) == set("abc") and all(p.version > 1 for p in present.values())
+        assert may_upgrade(term, "abc", present) == (all_new and not upgraded)
+        version = OUR_VERSION if may_upgrade(term, "abc", present) else 1
+        upgraded = upgraded or all_new
+        runs = eligible(term, {**present, "a": Presence("a", "p", OUR_VERSION)})
+        if upgraded and term.version > 1:
+            # One of the old version that joins all the same gets no team and starts no new term.
+            assert all(present[n].version > 1 for n in runs if n != "a")
+        term = next_term(term, "a", runs, ["red", "blue"], version=version)
+        assert (term.version > 1) == upgraded
+        assert not needs_new_term(term, runs)
+
+
+def test_groups_wait_for_the_upgrade_and_are_told_so_at_once():
+    from tests.region import Region
+    from tests.virtual import play
+
+    async def day() -> None:
+        region = Region(1)
+        region.start()
+        await asyncio.sleep(4.0)
+        gang = spec("j-000001", kind="group", tasks=2)
+        controller = next(iter(region.controllers.values()))[0]
+        assert controller.leadership.gangs_allowed()
+        controller.desk.gangs_allowed = lambda: False
+        reply = await controller.desk.submit(msgspec.json.encode(gang))
+        assert reply.status == 503 and reply.retry_after_s
+        # A job that is known is told of all the same, however it is submitted again.
+        key = records.job_key(gang.id)
+        value = Raw(records.encode(new_record(gang, 1, 8)))
+        region.state.store.rows[key] = (bytes(value), 1, None)
+        assert (await controller.desk.submit(msgspec.json.encode(gang))).status == 200
+
+    play(day())
+
+
+def test_a_controller_that_shows_the_old_version_holds_the_upgrade_back():
+    """One of three is old for a while; after it, the record stays through restarts of all."""
+    from tests.region import Region
+    from tests.virtual import play
+
+    async def day() -> None:
+        region = Region(2)
+        region.start()
+        region.kill_controller("moss-2")
+        lease = region.state.store.grant()
+        region.state.leases[lease] = (10**9, 10**9)
+        old = Raw(production.encode(production.Presence("moss-2", "old")))
+        key = records.NODE_PREFIX + "moss-2"
+        region.state._apply(wire.Transaction((), (wire.Write(key=key, value=old, lease=lease),)))
+        await asyncio.sleep(20.0)
+        term = records.decode_term(region.state.store.rows[records.TERM_KEY][0])
+        assert term.version == 1 and "moss-2" in term.runs
+        gang = msgspec.json.encode(spec("j-000001", kind="group", tasks=2))
+        for name in region.names[:2]:
+            status, _ = await region.ask("POST", "/api/jobs", gang, name)
+            assert status == 503
+        region.start_controller(region.names[2])
+        await region.until(lambda: version(region) == GANG_VERSION, 30.0)
+        assert version(region) == GANG_VERSION
+        await asyncio.sleep(1.0)
+        status, _ = await region.ask("POST", "/api/jobs", gang, region.names[1])
+        assert status == 201
+        for name in region.names:
+            region.kill_controller(name)
+        await asyncio.sleep(20.0)
+        region.start_controller(region.names[0])
+        await region.until(lambda: region.leader(), 20.0)
+        assert region.leader() == region.names[0] and version(region) == GANG_VERSION
+
+    def version(region: Region) -> int:
+        return records.decode_term(region.state.store.rows[records.TERM_KEY][0]).version
+
+    play(day())
