--- a/mosswalk/fleet/late_starts.py
+++ b/mosswalk/fleet/late_starts.py
@@ -1,4 +1,4 @@
-"""Starts on the way for withdrawn jobs: a new term outdates them."""
+"""Starts on the way for withdrawn jobs and ending gangs: a new term outdates them."""
 
 from __future__ import annotations
 
@@ -12,7 +12,7 @@
 
 log = logging.getLogger(__name__)
 
-# A withdrawn task whose start may still be on the way is ended by a new term after this.
+# The start of a task that must not run, if it may still be on the way, is outdated after this.
 _LATE_START_US = 5 * SECOND_US
 
 
@@ -41,8 +41,9 @@
             for key in self._board.attempts_on(machine.name):
                 start = (task_name(key[0], key[1]), key[2])
                 job = self._board.jobs.get(key[0])
-                withdrawn = job is not None and not job.open
-                if withdrawn and machine.may_run_late(start, epoch) and start not in machine.tasks:
+                # A gang that ends waits for every task of the attempt to be proven gone.
+                over = job is not None and (not job.open or job.ending)
+                if over and machine.may_run_late(start, epoch) and start not in machine.tasks:
                     late[key] = self._since_us.get(key, now_us)
             machine.unanswered = {
                 k: v
@@ -51,6 +52,6 @@
             }
         self._since_us = late
         if any(now_us - since_us > _LATE_START_US for since_us in late.values()):
-            log.info("new term wanted: a withdrawn task's start is still on the way")
+            log.info("new term wanted: the start of a task that must not run is still on the way")
             self._since_us = {}
             self._leadership.want_new_term()
--- a/mosswalk/jobs/state.py
+++ b/mosswalk/jobs/state.py
@@ -174,8 +174,8 @@
     def __init__(self, job: Job, limits: records.RecordLimits) -> None:
         self.job = job
         self.record = job.record
-        # The header and, with the job's end, its final record are written too.
-        self._most_chunks = limits.txn_ops - 2
+        # The header is written too.
+        self._most_chunks = limits.txn_ops - 1
         self._value_bytes = limits.value_bytes
         self._chunks: dict[int, TaskChunk] = {}
         self.placed: list[Attempt] = []
--- a/mosswalk/placement/rooms.py
+++ b/mosswalk/placement/rooms.py
@@ -136,7 +136,7 @@
     return room.core_price * (fetch_s + max(_LEAST_RUN_S, job.spec.estimate_s))
 
 
-# Fetches that differ by less than this are alike: to a replica, whose users wait, and to others.
+# Fetches that differ by less than this are alike: to a replica or a gang, and to others.
 _REPLICA_STEP_S = 0.3
 _FETCH_STEP_S = 3.0
 
@@ -167,6 +167,9 @@
         if spec.kind == "daemon":
             first = round(fetch_s / _REPLICA_STEP_S)
             second = (0.0 if room.replica_cpus else 1.0) + round(room.core_price, 3)
+        elif job.is_gang:
+            # All of it waits for its last fetch.
+            first, second = round(fetch_s / _REPLICA_STEP_S), round(_money(job, room, fetch_s), 2)
         else:
             first, second = round(fetch_s / _FETCH_STEP_S), round(_money(job, room, fetch_s), 2)
         key = (
--- a/tests/test_gangs.py
+++ b/tests/test_gangs.py
@@ -10,6 +10,7 @@
 
 from mosswalk.config import Team
 from mosswalk.fleet.book import Book, Machine
+from mosswalk.fleet.late_starts import LateStarts
 from mosswalk.fleet.orders import judge
 from mosswalk.fleet.steward import Steward
 from mosswalk.fleet.stopping import Stopping
@@ -31,8 +32,8 @@
 from tests.test_offers import made, submit
 
 TASKS = 9
-OPS = 4
-# Three tasks a record and two records besides the header's a commit: placing takes two commits.
+OPS = 3
+# Two tasks a record and two records besides the header a commit: placing takes two commits.
 CHUNK = 2
 FEW = RecordLimits(16 * 1024, OPS)
 GANG_JOB = spec(kind="group", tasks=TASKS)
@@ -342,3 +343,24 @@
     assert shows(Order("run", "j-000001/0", 1)) and shows(Order("reap", "j-000001/0", 1))
     assert not shows(Order("kill", "j-000001/0", 1, 3.0))
     assert shows(Order("kill", "j-000002/0", 1, 3.0))
+
+
+def test_an_unanswered_start_of_an_ending_gang_is_outdated_by_a_new_term(tmp_path):
+    _, mirror, board, book, _ = _owner(tmp_path, 2)
+    draft = Draft(board.jobs["j-000001"], FEW)
+    draft.place_gang([Place(0, "vm-0000", 1), Place(1, "vm-0001", 1)], 1)
+    mirror.commit(draft.change({}))
+    clock, asked = FakeClock(), []
+    leadership = SimpleNamespace(epoch=lambda: 1, want_new_term=lambda: asked.append(True))
+    late = LateStarts(book, board, leadership, clock)
+    book.machines["vm-0000"].tenure = 1
+    book.machines["vm-0000"].unanswered = {("j-000001/0", 1): (1, 1)}
+    for ending in (False, True):
+        if ending:
+            draft = Draft(board.jobs["j-000001"], FEW)
+            draft.end_gang()
+            mirror.commit(draft.change({}))
+        late.turn()
+        clock.us += 6_000_000
+        late.turn()
+        assert bool(asked) == ending
--- a/tests/world.py
+++ b/tests/world.py
@@ -257,6 +257,7 @@
     def __init__(self, teams: tuple[Team, ...] = (Team("red"), Team("blue"))) -> None:
         self.state = StateService()
         self.teams = teams
+        self.limits = StateLimits(5000.0, 500.0, 16.0, 16)
         self.task_s = 0.3
         self.services: set[str] = set()
         self.broken: list[str] = []
@@ -340,7 +341,9 @@
 
     # The controllers.
 
-    async def start(self, stack: AsyncExitStack, count: int = 3) -> None:
+    async def start(
+        self, stack: AsyncExitStack, count: int = 3, start_controllers: bool = True
+    ) -> None:
         self.session = await stack.enter_async_context(aiohttp.ClientSession())
         ports = [free_port() for _ in range(2 + 2 * count)]
         state, cloud = f"127.0.0.1:{ports[0]}", f"127.0.0.1:{ports[1]}"
@@ -355,11 +358,12 @@
             self.settings[name] = Settings(
                 name, zone[name], self.addresses[name], peer[name], Outside(cloud, state),
                 Params(("a", "b"), WorkerLimits(REPORT_S, LEASE_S, 15.0),
-                       StateLimits(5000.0, 500.0, 16.0, 16), CloudLimits(50.0, 0.2),
+                       self.limits, CloudLimits(50.0, 0.2),
                        teams=self.teams, machine_limits=MachineLimits()),
                 tuple(Peer(n, zone[n], peer[n]) for n in names if n != name), QUICK,
             )  # fmt: skip
-            await self.start_controller(name)
+            if start_controllers:
+                await self.start_controller(name)
         stack.push_async_callback(self.stop)
 
     async def start_controller(self, name: str) -> None:
