--- a/mosswalk/fleet/preempting.py
+++ b/mosswalk/fleet/preempting.py
@@ -5,18 +5,20 @@
 from collections.abc import Container, Iterable, Mapping
 from dataclasses import replace
 
-from mosswalk.actors import Clock
+from mosswalk.actors import Clock, to_us
 from mosswalk.config import Settings
 from mosswalk.factory.loop import WaitingTasks
 from mosswalk.fleet.book import Book
 from mosswalk.fleet.offers import Offers
 from mosswalk.jobs.board import AttemptKey, Board
 from mosswalk.jobs.state import PRIORITIES, Job, Usage
-from mosswalk.placement.preemption import Victim, choose_victims
+from mosswalk.placement.preemption import Victim, choose_victims, worth_saving
 from mosswalk.placement.queues import shielded, within
 from mosswalk.placement.rooms import Room
 
 _MOST_VICTIMS = 16
+# How long a task takes to start once there is room, with its image at hand.
+_START_S = 0.5
 _IDLE_RANK = PRIORITIES.index("idle")
 
 
@@ -31,6 +33,29 @@
         self._board = board
         self._offers = offers
         self._clock = clock
+        # By when the users want jobs of a class to begin.
+        self._waits_us: dict[str, list[int]] = {}
+        for aim in settings.params.objectives:
+            if aim.kind == "wait" and aim.job_class is not None and aim.within_s is not None:
+                self._waits_us.setdefault(aim.job_class, []).append(to_us(aim.within_s))
+
+    def grace_s(self, victim: Victim) -> float:
+        """How long a victim may save before its room is free."""
+        spec = victim.job.spec
+        if not worth_saving(spec):
+            return 0.0
+        wanting = self._board.jobs.get(victim.wanted_by)
+        if wanting is not None and self._would_miss_its_start(wanting, spec.save_s):
+            return 0.0
+        return spec.save_s
+
+    def _would_miss_its_start(self, job: Job, save_s: float) -> bool:
+        """Whether a job could begin in time if it need not wait for others to save."""
+        waited_us = self._clock.wall_us() - job.record.submitted_us
+        return any(
+            waited_us <= within_us < waited_us + to_us(save_s + _START_S)
+            for within_us in self._waits_us.get(job.spec.job_class, ())
+        )
 
     def _guaranteed(self, job: Job, usage: Mapping[str, Usage]) -> bool:
         used = usage.get(job.spec.team) or Usage()
--- a/mosswalk/fleet/steward.py
+++ b/mosswalk/fleet/steward.py
@@ -46,7 +46,6 @@
 from mosswalk.jobs.state import Job, split_task_name, task_name
 from mosswalk.leadership.actor import Leadership
 from mosswalk.placement.owner import Owner
-from mosswalk.placement.preemption import worth_saving
 from mosswalk.store import records
 from mosswalk.store.mirror import Mirror
 from mosswalk.store.writer import GroupWriter
@@ -688,7 +687,7 @@
         now_us = self._clock.now_us()
         for victim in self._preempting.victims(waiting, self._stopping):
             spec, attempt = victim.job.spec, victim.attempt
-            grace_s = spec.save_s if worth_saving(spec) else 0.0
+            grace_s = self._preempting.grace_s(victim)
             claim_us = now_us + _CLAIM_US + to_us(grace_s)
             self._offers.claim(attempt.machine, claim_us, victim.wanted_by)
             log.info("stopping %s/%d attempt %d on %s for more urgent work",
