Room for gangs is made right after the plan that found none

Cause: stuck gangs waited up to half a second for the leader's next tick before anybody was stopped.

--- a/mosswalk/fleet/renting.py
+++ b/mosswalk/fleet/renting.py
@@ -22,12 +22,13 @@
 from mosswalk.fleet.book import Book, Machine
 from mosswalk.jobs.admission import fits_type
 from mosswalk.jobs.board import Board
-from mosswalk.jobs.state import Job, Usage, milli_room
+from mosswalk.jobs.state import PRIORITIES, Job, Usage, milli_room
 from mosswalk.placement.queues import TeamQueue, most_within, within
 from mosswalk.placement.rooms import Room, zone_rule
 
 log = logging.getLogger(__name__)
 
+_IDLE_RANK = PRIORITIES.index("idle")
 _CORDON_US = 2 * SECOND_US
 # How long machines for a gang are rented in one zone before the next is tried.
 _ZONE_TURN_US = 30 * SECOND_US
@@ -71,6 +72,14 @@
             for job in stuck
         }
 
+    def gangs_stuck(self) -> bool:
+        """Whether gangs that others may be stopped for found no room."""
+        return any(
+            job.is_gang and job.rank < _IDLE_RANK
+            for jobs in self._stuck.values()
+            for job in jobs
+        )
+
     def nothing_stuck(self) -> None:
         """All that may be placed has been."""
         self._stuck.clear()
--- a/mosswalk/fleet/steward.py
+++ b/mosswalk/fleet/steward.py
@@ -66,6 +66,7 @@
 _LIST_US = 4 * SECOND_US
 _TYPES_US = 60 * SECOND_US
 _PREEMPT_US = 500_000
+_GANG_PREEMPT_US = 150_000
 _MOVE_US = SECOND_US
 _ORPHANS_US = 60 * SECOND_US
 # How long room freed by stopping attempts is kept for those it was freed for.
@@ -473,6 +474,10 @@
         begun_us = self._clock.now_us()
         for node, offer in self._offers.plan():
             self.spawn(self._send_offer(node, offer))
+        if self._renting.gangs_stuck() and begun_us - self._preempt_us > _GANG_PREEMPT_US:
+            # They are to begin within seconds: not left for the next tick.
+            self._preempt_us = begun_us
+            self._preempt(self._renting.waiting())
         self._plan_rest_us = _PLAN_REST * (self._clock.now_us() - begun_us)
 
     async def _send_offer(self, node: str, offer: Offer) -> None:
