--- a/mosswalk/actors/__init__.py
+++ b/mosswalk/actors/__init__.py
@@ -100,7 +100,7 @@
             log.error("%s: background work failed", self.name, exc_info=task.exception())
 
 
-async def keep(work: Callable[[], Awaitable[None]]) -> None:
+async def run_forever(work: Callable[[], Awaitable[None]]) -> None:
     """Run a loop that must not end; one that fails is logged and begun again a little later."""
     while True:
         try:
--- a/mosswalk/api/__init__.py
+++ b/mosswalk/api/__init__.py
@@ -9,7 +9,7 @@
 import msgspec
 from aiohttp import web
 
-from mosswalk.api.jobs import JobDesk, Reply
+from mosswalk.api.jobs import JobService, Reply
 from mosswalk.wire.users import MAX_BODY_BYTES, Failure
 from mosswalk.wire.workers import Report
 
@@ -40,21 +40,25 @@
     except web.HTTPException as error:
         headers = {k: v for k, v in error.headers.items() if k == "Allow"}
         return web.Response(
-            status=error.status, body=error_body(error.reason), content_type=_JSON,
+            status=error.status,
+            body=error_body(error.reason),
+            content_type=_JSON,
             headers=headers,
-        )  # fmt: skip
+        )
     except asyncio.CancelledError:
         raise
     except Exception:
         log.exception("%s %s failed", request.method, request.path)
         return web.Response(
-            status=503, body=error_body("internal failure"), content_type=_JSON,
+            status=503,
+            body=error_body("internal failure"),
+            content_type=_JSON,
             headers={"Retry-After": "1"},
-        )  # fmt: skip
+        )
 
 
 def users_app(
-    desk: JobDesk,
+    job_service: JobService,
     on_report: Callable[[Report], Awaitable[tuple[int, bytes]]],
     healthy: Callable[[], bool],
     metrics: Callable[[], bytes],
@@ -65,13 +69,13 @@
         body = await request.read()
         if len(body) > MAX_BODY_BYTES:
             raise web.HTTPRequestEntityTooLarge(MAX_BODY_BYTES, len(body))
-        return _response(await desk.submit(body))
+        return _response(await job_service.submit(body))
 
     async def poll(request: web.Request) -> web.Response:
-        return _response(await desk.poll(request.match_info["id"]))
+        return _response(await job_service.poll(request.match_info["id"]))
 
     async def withdraw(request: web.Request) -> web.Response:
-        return _response(await desk.withdraw(request.match_info["id"]))
+        return _response(await job_service.withdraw(request.match_info["id"]))
 
     async def report(request: web.Request) -> web.Response:
         try:
--- a/mosswalk/api/jobs.py
+++ b/mosswalk/api/jobs.py
@@ -76,13 +76,18 @@
     return JobState(job_id, phase, record.done_count, record.live_count)  # type: ignore[arg-type]
 
 
-class JobDesk:
+class JobService:
     """Submissions, polls and withdrawals; holds nothing but a bounded cache of final states."""
 
     def __init__(
-        self, settings: Settings, client: StateClient, mirror: Mirror, writer: GroupWriter,
-        clock: Clock, rng: random.Random,
-    ) -> None:  # fmt: skip
+        self,
+        settings: Settings,
+        client: StateClient,
+        mirror: Mirror,
+        writer: GroupWriter,
+        clock: Clock,
+        rng: random.Random,
+    ) -> None:
         self._client = client
         self._mirror = mirror
         self._writer = writer
--- a/mosswalk/cloud/actor.py
+++ b/mosswalk/cloud/actor.py
@@ -52,10 +52,15 @@
     """The only one in this process that talks to the cloud."""
 
     def __init__(
-        self, client: CloudClient, clock: Clock, rng: random.Random, rps: float,
-        tell: Callable[[CloudNews], None], entitled: Callable[[], bool],
+        self,
+        client: CloudClient,
+        clock: Clock,
+        rng: random.Random,
+        rps: float,
+        tell: Callable[[CloudNews], None],
+        entitled: Callable[[], bool],
         may_end: Callable[[], bool],
-    ) -> None:  # fmt: skip
+    ) -> None:
         self._client = client
         self._clock = clock
         self._rng = rng
--- a/mosswalk/cloud/client.py
+++ b/mosswalk/cloud/client.py
@@ -36,9 +36,11 @@
         data = msgspec.json.encode(body) if body is not None else None
         try:
             async with self._session.request(
-                method, self._base + path, data=data,
+                method,
+                self._base + path,
+                data=data,
                 timeout=aiohttp.ClientTimeout(total=timeout_s),
-            ) as response:  # fmt: skip
+            ) as response:
                 return response.status, await response.read()
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             raise CloudError(str(error) or type(error).__name__) from None
--- a/mosswalk/config/__init__.py
+++ b/mosswalk/config/__init__.py
@@ -176,13 +176,20 @@
     params = settings.params
     workers, state = params.workers, params.state
     _positive(
-        path, "params.workers",
-        report_s=workers.report_s, lease_s=workers.lease_s, cancel_s=workers.cancel_s,
-    )  # fmt: skip
+        path,
+        "params.workers",
+        report_s=workers.report_s,
+        lease_s=workers.lease_s,
+        cancel_s=workers.cancel_s,
+    )
     _positive(
-        path, "params.state",
-        rps=state.rps, write_rps=state.write_rps, value_kb=state.value_kb, txn_ops=state.txn_ops,
-    )  # fmt: skip
+        path,
+        "params.state",
+        rps=state.rps,
+        write_rps=state.write_rps,
+        value_kb=state.value_kb,
+        txn_ops=state.txn_ops,
+    )
     _positive(path, "params.cloud", rps=params.cloud.rps)
     if state.txn_ops < _LEAST_TXN_OPS:
         raise SettingsError(f"{path}: params.state.txn_ops: must be at least {_LEAST_TXN_OPS}")
--- a/mosswalk/factory/consolidate.py
+++ b/mosswalk/factory/consolidate.py
@@ -12,7 +12,7 @@
 from dataclasses import dataclass, replace
 
 from mosswalk.jobs.state import Job
-from mosswalk.placement.rooms import Room, zone_rule
+from mosswalk.placement.capacity import Room, zone_rule
 from mosswalk.store.records import Attempt
 
 # A machine more used than this is left as it is.
--- a/mosswalk/factory/loop.py
+++ b/mosswalk/factory/loop.py
@@ -18,7 +18,7 @@
 from mosswalk.factory.load import Dwell, fits, load_ratio, weight
 from mosswalk.factory.pareto import PoolFigures, affordable, optimize, pareto_front
 from mosswalk.jobs.state import Job, milli_room
-from mosswalk.placement.rooms import Room, ZoneRule
+from mosswalk.placement.capacity import Room, ZoneRule
 from mosswalk.wire.cloud import MAX_RENT, MachineType
 
 log = logging.getLogger(__name__)
@@ -257,11 +257,16 @@
             if m.phase != "up" and shape is not None:
                 rooms.append(
                     Room(
-                        m.name, m.pool[0], m.pool[1], m.pool[2], 0,
-                        milli_room(shape.cpus), milli_room(shape.gpus),
+                        m.name,
+                        m.pool[0],
+                        m.pool[1],
+                        m.pool[2],
+                        0,
+                        milli_room(shape.cpus),
+                        milli_room(shape.gpus),
                         milli_room(shape.memory_gb),
                     )
-                )  # fmt: skip
+                )
         booting = {room.machine: room for room in rooms}
         least_cpus = min((tasks.job.cpus for tasks in view.waiting), default=0)
         left: list[WaitingTasks] = []
--- a/mosswalk/fleet/pushes.py
+++ b/mosswalk/fleet/command_sender.py
@@ -11,9 +11,9 @@
 import msgspec
 
 from mosswalk.actors import Clock
-from mosswalk.fleet.book import Book, Machine
+from mosswalk.fleet.inventory import Inventory, Machine
 from mosswalk.fleet.messages import PushDone
-from mosswalk.jobs.board import AttemptKey, Board
+from mosswalk.jobs.registry import AttemptKey, JobRegistry
 from mosswalk.jobs.state import split_task_name
 from mosswalk.leadership.actor import Leadership
 from mosswalk.wire.workers import DirectOrders, Order, Report
@@ -35,23 +35,30 @@
     scheduled: bool = False
 
 
-class Pushes:
+class CommandSender:
     """One message a machine under way at most; the leader's actor is told each one's end."""
 
     def __init__(
-        self, book: Book, board: Board, leadership: Leadership, session: aiohttp.ClientSession,
-        is_to_stop: Callable[[Machine, AttemptKey], bool], tell: Callable[[PushDone], None],
-        spawn: Callable[[Awaitable[None]], None], clock: Clock, sockets: int,
-    ) -> None:  # fmt: skip
-        self._book = book
-        self._board = board
+        self,
+        inventory: Inventory,
+        registry: JobRegistry,
+        leadership: Leadership,
+        session: aiohttp.ClientSession,
+        is_to_stop: Callable[[Machine, AttemptKey], bool],
+        tell: Callable[[PushDone], None],
+        spawn: Callable[[Awaitable[None]], None],
+        clock: Clock,
+        sockets: int,
+    ) -> None:
+        self._inventory = inventory
+        self._registry = registry
         self._leadership = leadership
         self._session = session
         self._is_to_stop = is_to_stop
         self._tell = tell
         self._spawn = spawn
         self._clock = clock
-        self._pushes: dict[str, _Push] = {}
+        self._command_sender: dict[str, _Push] = {}
         # Sockets for all that has to do with workers, and the machines to which a connection may
         # stay open: each machine holds one to us for its reports anyway.
         self._sockets = sockets
@@ -60,30 +67,30 @@
 
     def reset(self) -> None:
         """Forget all: another controller leads."""
-        self._pushes.clear()
+        self._command_sender.clear()
         self._kept.clear()
 
     def forget(self, name: str) -> None:
         """A machine is gone."""
-        self._pushes.pop(name, None)
+        self._command_sender.pop(name, None)
         self._kept.discard(name)
 
     def ended(self, name: str) -> None:
         """The message under way has ended, answered or not."""
-        push = self._pushes.get(name)
+        push = self._command_sender.get(name)
         if push is not None:
             push.in_flight = False
             self._schedule(name, push)
 
     def push(self, machine: Machine, order: Order) -> None:
         """Send an order soon."""
-        push = self._pushes.setdefault(machine.name, _Push())
+        push = self._command_sender.setdefault(machine.name, _Push())
         push.orders.append(order)
         self._schedule(machine.name, push)
 
     def probe(self, machine: Machine) -> None:
         """Have a machine see our epoch and say how it is, without waiting for its report."""
-        push = self._pushes.setdefault(machine.name, _Push())
+        push = self._command_sender.setdefault(machine.name, _Push())
         push.probe = True
         machine.probed_us = self._clock.now_us()
         self._schedule(machine.name, push)
@@ -93,11 +100,14 @@
 
         Else a fleet of many machines would take two sockets each, and users be refused.
         """
-        spare = self._sockets - len(self._book.machines)
+        spare = self._sockets - len(self._inventory.machines)
         if spare < 0 and not self._short:
             self._short = True
-            log.info("%d machines, but sockets for the reports of %d: raise max_connections",
-                     len(self._book.machines), self._sockets)  # fmt: skip
+            log.info(
+                "%d machines, but sockets for the reports of %d: raise max_connections",
+                len(self._inventory.machines),
+                self._sockets,
+            )
         if name not in self._kept and len(self._kept) < spare:
             self._kept.add(name)
         elif name in self._kept and len(self._kept) > spare:
@@ -110,20 +120,22 @@
             asyncio.get_running_loop().call_later(_PUSH_GAP_S, self._send, name)
 
     def _send(self, name: str) -> None:
-        push = self._pushes.get(name)
-        machine = self._book.machines.get(name)
+        push = self._command_sender.get(name)
+        machine = self._inventory.machines.get(name)
         if push is None:
             return
         push.scheduled = False
         orders, push.orders = push.orders, []
         probe, push.probe = push.probe, False
         if (
-            machine is None or machine.address is None or machine.releasing
+            machine is None
+            or machine.address is None
+            or machine.releasing
             or not self._leadership.may_answer()
-        ):  # fmt: skip
+        ):
             return
         may_start = self._leadership.may_start()
-        attempts = self._board.attempts_on(name)
+        attempts = self._registry.attempts_on(name)
         kept: list[Order] = []
         for order in orders:
             split = split_task_name(order.task)
@@ -158,10 +170,11 @@
         sent = True
         try:
             async with self._session.post(
-                f"http://{address}/orders", data=msgspec.json.encode(message),
+                f"http://{address}/orders",
+                data=msgspec.json.encode(message),
                 headers=None if self._may_keep(name) else _CLOSE,
                 timeout=aiohttp.ClientTimeout(total=_PUSH_TIMEOUT_S, sock_connect=1.5),
-            ) as response:  # fmt: skip
+            ) as response:
                 body = await response.read()
                 if response.status in (200, 409):
                     report = msgspec.json.decode(body, type=Report)
--- a/mosswalk/fleet/suspects.py
+++ b/mosswalk/fleet/failure_detector.py
@@ -6,30 +6,30 @@
 
 from mosswalk.actors import SECOND_US, Clock, to_us
 from mosswalk.config import Settings
-from mosswalk.fleet.book import Book, Machine
-from mosswalk.fleet.suspicion import Patience, quiet_zones, taken, to_release
+from mosswalk.fleet.inventory import Inventory, Machine
+from mosswalk.fleet.silence import SilenceLimits, quiet_zones, reclaimed, to_release
 from mosswalk.leadership.actor import Leadership
 
 # How long workers may take to find their way to a new leader, or back after a cut.
 TAKEOVER_US = 8 * SECOND_US
 
 
-class Suspects:
+class FailureDetector:
     """Looks for machines that say nothing, do nothing, or never came up."""
 
     def __init__(
-        self, settings: Settings, book: Book, leadership: Leadership, clock: Clock
+        self, settings: Settings, inventory: Inventory, leadership: Leadership, clock: Clock
     ) -> None:
         workers, fleet = settings.params.workers, settings.tuning.fleet
         lease_us = to_us(workers.lease_s)
-        self.patience = Patience(
+        self.silence_limits = SilenceLimits(
             to_us(2.2 * workers.report_s),
             to_us(fleet.silent_reports * workers.report_s),
             lease_us,
             lease_us + leadership.bound_us,
         )
         self._boot_patience = fleet.boot_patience
-        self._book = book
+        self._inventory = inventory
         self._leadership = leadership
         self._clock = clock
         # Where each controller is.
@@ -44,24 +44,24 @@
         self._unseen_us.clear()
         self._quiet_us.clear()
 
-    def turn(self, since_us: int) -> Iterator[tuple[Machine, str]]:
+    def overdue(self, since_us: int) -> Iterator[tuple[Machine, str]]:
         """Machines to release now, and why; silences are counted from an instant on."""
         now_us = self._clock.now_us()
         # One that does not carry out what it is told is as bad as one that says nothing.
         silences = {
             m.name: now_us - max(since_us, min(m.seen_us, m.deaf_since_us or m.seen_us))
-            for m in self._book.machines.values()
+            for m in self._inventory.machines.values()
             if m.phase == "up" and not m.releasing
         }
         for name in list(silences):
-            machine = self._book.machines[name]
-            if taken(silences[name], machine.notice_until_us, now_us, self.patience):
+            machine = self._inventory.machines[name]
+            if reclaimed(silences[name], machine.notice_until_us, now_us, self.silence_limits):
                 yield machine, "its notice is over"
                 # Its silence says nothing of a cut.
                 del silences[name]
         yield from self._silent(silences)
-        for machine in list(self._book.machines.values()):
-            shape = self._book.types.get(machine.type)
+        for machine in list(self._inventory.machines.values()):
+            shape = self._inventory.types.get(machine.type)
             if machine.phase == "up" or machine.releasing or shape is None:
                 continue
             if now_us - machine.since_us < TAKEOVER_US:
@@ -70,14 +70,14 @@
                 yield machine, "never came up"
 
     def _silent(self, silences: dict[str, int]) -> Iterator[tuple[Machine, str]]:
-        zone_of = {name: self._book.machines[name].zone for name in silences}
+        zone_of = {name: self._inventory.machines[name].zone for name in silences}
         # When a cut heals, most are heard again before the last one: seen on a standard day, a
         # third of a zone was released in that second, as if each of them had fallen silent alone.
-        quiet = self._lately(self._quiet_us, quiet_zones(silences, self.patience, zone_of))
+        quiet = self._lately(self._quiet_us, quiet_zones(silences, self.silence_limits, zone_of))
         unseen = set(self._controllers.values()) - self._leadership.present_in(self._controllers)
         cut_off = self._lately(self._unseen_us, unseen)
-        for name in to_release(silences, self.patience, zone_of, quiet, cut_off):
-            machine = self._book.machines[name]
+        for name in to_release(silences, self.silence_limits, zone_of, quiet, cut_off):
+            machine = self._inventory.machines[name]
             what = "silent" if machine.deaf_since_us is None else "does not hear"
             yield machine, f"{what} for {silences[name] / SECOND_US:.1f} s"
 
--- a/mosswalk/fleet/book.py
+++ b/mosswalk/fleet/inventory.py
@@ -1,4 +1,4 @@
-"""The machine book: what the leader knows of every machine."""
+"""The machine inventory: what the leader knows of every machine."""
 
 from __future__ import annotations
 
@@ -83,9 +83,12 @@
         """
         again = report.tenure > self.tenure
         if (
-            again and self.hears and self.tenure > 0 and self.told_us > 0
+            again
+            and self.hears
+            and self.tenure > 0
+            and self.told_us > 0
             and now_us - self.told_us < lease_us * 6 // 10
-        ):  # fmt: skip
+        ):
             # Its lease ran out although we answered in time. It may have been restarted, too.
             self.must_prove = True
         heard = report.epoch >= self.told_epoch and (
@@ -126,7 +129,7 @@
     return found is None
 
 
-class Book:
+class Inventory:
     """Machines by name, and the names of those that are gone."""
 
     def __init__(self) -> None:
--- a/mosswalk/fleet/steward.py
+++ b/mosswalk/fleet/manager.py
@@ -1,4 +1,4 @@
-"""The leader's actor: takes reports, sends orders, keeps the machine book, offers room.
+"""The leader's actor: takes reports, sends orders, keeps the machine inventory, offers room.
 
 Only while this controller leads does it hold anything; whatever must outlive it is in the job
 records, and the rest is learnt again from reports and from the machine list.
@@ -19,8 +19,9 @@
 from mosswalk.config import Settings
 from mosswalk.config.sockets import sockets
 from mosswalk.factory.loop import GiveBack, WaitingTasks
-from mosswalk.fleet.book import Book, Machine
-from mosswalk.fleet.late_starts import LateStarts
+from mosswalk.fleet.command_sender import CommandSender
+from mosswalk.fleet.failure_detector import TAKEOVER_US, FailureDetector
+from mosswalk.fleet.inventory import Inventory, Machine
 from mosswalk.fleet.messages import (
     Message,
     OfferDone,
@@ -30,19 +31,18 @@
     TermBegan,
     Tick,
 )
-from mosswalk.fleet.moving import Moving
+from mosswalk.fleet.moving import Consolidator
 from mosswalk.fleet.offers import Offers
-from mosswalk.fleet.orders import judge, kills_of_closed
-from mosswalk.fleet.preempting import Preempting
-from mosswalk.fleet.pushes import Pushes
-from mosswalk.fleet.renting import Renting
-from mosswalk.fleet.stopping import Stopping
-from mosswalk.fleet.suspects import TAKEOVER_US, Suspects
-from mosswalk.fleet.telling import OutcomeLink, Telling
+from mosswalk.fleet.outcome_sender import OutcomeLink, OutcomeSender
+from mosswalk.fleet.preempting import Preemptor
+from mosswalk.fleet.recent_workers import RecentWorkers, cut_from_workers
+from mosswalk.fleet.renting import FleetScaler
+from mosswalk.fleet.report_evaluation import evaluate_report, kills_of_closed
+from mosswalk.fleet.stale_starts import StaleStarts
+from mosswalk.fleet.stopping import StopRegistry
 from mosswalk.fleet.upkeep import Upkeep
-from mosswalk.fleet.visitors import Visitors, cut_from_workers
-from mosswalk.fleet.withdrawing import Withdrawing
-from mosswalk.jobs.board import Board
+from mosswalk.fleet.withdrawing import WithdrawnTasks
+from mosswalk.jobs.registry import JobRegistry
 from mosswalk.jobs.state import Job, split_task_name, task_name
 from mosswalk.leadership.actor import Leadership
 from mosswalk.placement.owner import Owner
@@ -83,20 +83,27 @@
         """Offer room."""
 
 
-class Steward(Actor[Message]):
+class FleetManager(Actor[Message]):
     """See the module."""
 
     name = "steward"
 
     def __init__(
-        self, settings: Settings, mirror: Mirror, board: Board, writer: GroupWriter,
-        leadership: Leadership, owner: Owner, peers: OwnerLink,
-        session: aiohttp.ClientSession, clock: Clock,
-    ) -> None:  # fmt: skip
+        self,
+        settings: Settings,
+        mirror: Mirror,
+        registry: JobRegistry,
+        writer: GroupWriter,
+        leadership: Leadership,
+        owner: Owner,
+        peers: OwnerLink,
+        session: aiohttp.ClientSession,
+        clock: Clock,
+    ) -> None:
         super().__init__()
         self._settings = settings
         self._mirror = mirror
-        self._board = board
+        self._registry = registry
         self._writer = writer
         self._leadership = leadership
         self._owner = owner
@@ -107,14 +114,21 @@
         self._errors_to_distrust = settings.tuning.fleet.errors_to_distrust
         self._period_us = to_us(settings.tuning.factory.period_s)
         self._list_lag_us = to_us(settings.params.cloud.list_lag_s)
-        self.book = Book()
+        self.inventory = Inventory()
         self._failed_on: dict[str, set[str]] = {}
-        self._renting = Renting(settings, self.book, board, clock)
+        self._scaler = FleetScaler(settings, self.inventory, registry, clock)
         self._offers = Offers(
-            settings, mirror, board, self.book, leadership, self._renting, clock, self._failed_on
+            settings,
+            mirror,
+            registry,
+            self.inventory,
+            leadership,
+            self._scaler,
+            clock,
+            self._failed_on,
         )
-        self._preempting = Preempting(settings, self.book, board, self._offers, clock)
-        self._moving = Moving(self.book, board, self._offers, clock)
+        self._preemptor = Preemptor(settings, self.inventory, registry, self._offers, clock)
+        self._consolidator = Consolidator(self.inventory, registry, self._offers, clock)
         self.cloud: CloudCaller | None = None
         self._leading = False
         self._since_us = 0
@@ -135,37 +149,51 @@
         self._orphans_us = 0
         self._plan_scheduled = False
         self._plan_rest_us = 0
-        self._upkeep = Upkeep(settings, mirror, board, writer, leadership)
-        self._telling = Telling(board, leadership, owner, peers, self.spawn, clock)
-        self._stopping = Stopping(
-            settings, self.book, board, lambda machine, order: self._pushes.push(machine, order),
-            self._offers.quiet, clock,
-        )  # fmt: skip
-        self._pushes = Pushes(
-            self.book, board, leadership, session,
-            lambda machine, key: self._stopping.grace_s(machine, key) is not None,
-            self.tell, self.spawn, clock,
+        self._upkeep = Upkeep(settings, mirror, registry, writer, leadership)
+        self._outcome_sender = OutcomeSender(registry, leadership, owner, peers, self.spawn, clock)
+        self._stops = StopRegistry(
+            settings,
+            self.inventory,
+            registry,
+            lambda machine, order: self._command_sender.push(machine, order),
+            self._offers.quiet,
+            clock,
+        )
+        self._command_sender = CommandSender(
+            self.inventory,
+            registry,
+            leadership,
+            session,
+            lambda machine, key: self._stops.grace_s(machine, key) is not None,
+            self.tell,
+            self.spawn,
+            clock,
             sockets(settings.params.machine_limits.max_connections).workers,
-        )  # fmt: skip
-        self._suspects = Suspects(settings, self.book, leadership, clock)
-        self._late_starts = LateStarts(self.book, board, leadership, clock)
-        self._withdrawing = Withdrawing(
-            self.book, board, leadership, self._pushes, self._suspects.patience, clock
+        )
+        self._failure_detector = FailureDetector(settings, self.inventory, leadership, clock)
+        self._stale_starts = StaleStarts(self.inventory, registry, leadership, clock)
+        self._withdrawn_tasks = WithdrawnTasks(
+            self.inventory,
+            registry,
+            leadership,
+            self._command_sender,
+            self._failure_detector.silence_limits,
+            clock,
         )
         # Long enough that the leader, who asks each second or two, misses none of them.
-        self.visitors = Visitors(2 * SECOND_US + to_us(workers.report_s), clock)
+        self.recent_workers = RecentWorkers(2 * SECOND_US + to_us(workers.report_s), clock)
         # Whether no leader can be reached from here, nor anybody who could name one.
         self.left_alone: Callable[[], bool] = lambda: False
         # Whether the state service serves nobody who can be reached.
         self.nobody_served: Callable[[], bool] = lambda: False
         # Workers sent to the leader within a lease: one that comes back was not answered there.
-        self._sent_on = Visitors(self._lease_us, clock)
+        self._sent_on = RecentWorkers(self._lease_us, clock)
         self._keeps = False
         # Within this time a machine that is well reports, give or take what reports vary by.
         self._report_us = to_us(1.3 * workers.report_s)
-        board.on_attempt.append(self._attempt_appeared)
-        board.on_withdrawn.append(self._withdrawn)
-        board.on_gang_ending.append(self._gang_ending)
+        registry.on_attempt.append(self._attempt_appeared)
+        registry.on_withdrawn.append(self._withdrawn)
+        registry.on_gang_ending.append(self._gang_ending)
         mirror.after_batch(self._poke)
         leadership.on_term.append(lambda: self.tell(TermBegan()))
 
@@ -195,7 +223,7 @@
             case Released() if self._leading:
                 self._released(message.machines)
             case Rented() if self._leading:
-                self._renting.rented(message)
+                self._scaler.rented(message)
             case Typed() if self._leading:
                 self._typed(message.types)
             case _:
@@ -231,22 +259,22 @@
             self._listed = self._priced = False
             self._know_types()
             self._asked_list_us = self._asked_types_us = -_TYPES_US
-            for machine in list(self._board.by_machine):
+            for machine in list(self._registry.by_machine):
                 self._rumour(machine)
-            self._stopping.reset()
+            self._stops.reset()
             self._orphans_us = -_ORPHANS_US
             self._tick()
         elif not leads and self._leading:
             log.info("leading no more")
             self._leading = False
-            self.book.reset()
-            self._renting.reset()
+            self.inventory.reset()
+            self._scaler.reset()
             self._offers.reset()
-            self._telling.reset()
-            self._stopping.reset()
-            self._pushes.reset()
-            self._late_starts.reset()
-            self._suspects.reset()
+            self._outcome_sender.reset()
+            self._stops.reset()
+            self._command_sender.reset()
+            self._stale_starts.reset()
+            self._failure_detector.reset()
             if self.cloud is not None:
                 self.cloud.forget()
 
@@ -267,10 +295,10 @@
         if self._leading and self._leadership.may_answer():
             orders = self._take_report(report, in_answer=True)
         elif self._may_keep(report):
-            orders = kills_of_closed(report, self._board.jobs)
+            orders = kills_of_closed(report, self._registry.jobs)
         else:
-            self.visitors.came(report.machine)
-            self._sent_on.came(report.machine)
+            self.recent_workers.record(report.machine)
+            self._sent_on.record(report.machine)
             message.answer.set_result(self._refusal())
             return
         body = msgspec.json.encode(ReportAnswer(self._leadership.epoch(), tuple(orders)))
@@ -297,22 +325,23 @@
         now_us = self._clock.now_us()
         if not self._leading or now_us - self._listening_us < TAKEOVER_US:
             return False
-        up = [m for m in self.book.machines.values() if m.phase == "up" and not m.releasing]
+        up = [m for m in self.inventory.machines.values() if m.phase == "up" and not m.releasing]
         heard = sum(1 for m in up if now_us - m.seen_us < self._report_us)
         return cut_from_workers(len(up), heard, elsewhere)
 
     def _take_report(self, report: Report, *, in_answer: bool) -> list[Order]:
         now_us = self._clock.now_us()
-        if self.book.gone(report.machine):
+        if self.inventory.gone(report.machine):
             return []
-        machine = self.book.machines.get(report.machine)
+        machine = self.inventory.machines.get(report.machine)
         if machine is None:
             if report.epoch < self._first_epoch:
                 # Perhaps a late copy from a machine long gone. If it is there, it hears our
                 # epoch with this answer and reports again within half a second.
                 return []
-            log.info("machine %s (%s, %s) reports unexpected", report.machine, report.type,
-                     report.zone)  # fmt: skip
+            log.info(
+                "machine %s (%s, %s) reports unexpected", report.machine, report.type, report.zone
+            )
             machine = self._adopt(report.machine, report.type, report.zone, report.spot, "booting")
         if not machine.newer(report):
             # A late report: what it lists is as old as it is.
@@ -329,34 +358,39 @@
             self._heard_from(machine, report, in_answer=in_answer)
         elif machine.phase != "up" and in_answer and machine.probed_us is None:
             # Just up, as it seems: let it see our epoch at once, and it can be used at once.
-            self._pushes.probe(machine)
+            self._command_sender.probe(machine)
         tasks = {(t.task, t.attempt): t for t in report.tasks}
         changed = tasks != machine.tasks
         machine.tasks = tasks
-        judgement = judge(
-            machine, report, self._board.attempts_on(machine.name), self._leadership.epoch(),
-            lambda job_id, index, number: self._stopping.grace_s(machine, (job_id, index, number)),
-            self._startable, may_start=self._leadership.may_start(), in_answer=in_answer,
-        )  # fmt: skip
+        evaluation = evaluate_report(
+            machine,
+            report,
+            self._registry.attempts_on(machine.name),
+            self._leadership.epoch(),
+            lambda job_id, index, number: self._stops.grace_s(machine, (job_id, index, number)),
+            self._startable,
+            may_start=self._leadership.may_start(),
+            in_answer=in_answer,
+        )
         # A report from before our time may be a late copy: it proves nothing.
-        outcomes = judgement.outcomes if machine.hears else []
+        outcomes = evaluation.outcomes if machine.hears else []
         for outcome in outcomes:
-            self._telling.reported(outcome)
+            self._outcome_sender.reported(outcome)
         if outcomes:
-            self._telling.turn()
+            self._outcome_sender.send_due()
         if changed or before != self._standing(machine):
             # Most reports tell nothing new: room and plans are worked out for the others only.
             self._offers.touch(machine.name)
             self._poke()
-        for order in judgement.orders:
+        for order in evaluation.orders:
             log.debug("order to %s: %s", machine.name, order)
         if in_answer:
-            shown = tuple(order for order in judgement.orders if self._next_report_shows(order))
+            shown = tuple(order for order in evaluation.orders if self._next_report_shows(order))
             machine.told(self._leadership.epoch(), shown, now_us)
-        return judgement.orders
+        return evaluation.orders
 
     def _startable(self, job_id: str) -> bool:
-        job = self._board.jobs.get(job_id)
+        job = self._registry.jobs.get(job_id)
         return job is not None and job.startable
 
     def _next_report_shows(self, order: Order) -> bool:
@@ -365,17 +399,22 @@
         A gang's task that is being stopped may be reported as running until all of them exit.
         """
         split = split_task_name(order.task)
-        job = self._board.jobs.get(split[0]) if split is not None else None
+        job = self._registry.jobs.get(split[0]) if split is not None else None
         return order.op != "kill" or job is None or not job.is_gang
 
     def _standing(self, machine: Machine) -> tuple[object, ...]:
         """All that a report can change of whether and how a machine is used, besides its tasks."""
         return (
-            machine.tenure, machine.phase, machine.hears, machine.rumoured,
+            machine.tenure,
+            machine.phase,
+            machine.hears,
+            machine.rumoured,
             machine.deaf_since_us is None,
-            machine.notice_until_us is None, machine.distrusted, machine.releasing is None,
+            machine.notice_until_us is None,
+            machine.distrusted,
+            machine.releasing is None,
             self._offers.quiet(machine),
-        )  # fmt: skip
+        )
 
     def _heard_from(self, machine: Machine, report: Report, *, in_answer: bool) -> None:
         """A machine has reported under an epoch of ours, so it is there and hears us."""
@@ -401,9 +440,14 @@
 
     def _came_up(self, machine: Machine, report: Report) -> None:
         took_us = self._clock.now_us() - machine.rented_us
-        log.info("machine %s (%s, %s) is up after %.1f s", machine.name, report.type,
-                 report.zone, took_us / SECOND_US)  # fmt: skip
-        for back in self._renting.came_up(machine, self._calls_left()):
+        log.info(
+            "machine %s (%s, %s) is up after %.1f s",
+            machine.name,
+            report.type,
+            report.zone,
+            took_us / SECOND_US,
+        )
+        for back in self._scaler.came_up(machine, self._calls_left()):
             self._give_back(back)
 
     def _calls_left(self) -> int:
@@ -411,13 +455,13 @@
 
     def _learn(self, machine: Machine, report: Report) -> None:
         """What new exits tell of the machine, and running tasks of its cached images."""
-        shape = self.book.types.get(machine.type)
+        shape = self.inventory.types.get(machine.type)
         for task in report.tasks:
             before = machine.tasks.get((task.task, task.attempt))
             if before is not None and before.phase == task.phase:
                 continue
             split = split_task_name(task.task)
-            job = self._board.jobs.get(split[0]) if split is not None else None
+            job = self._registry.jobs.get(split[0]) if split is not None else None
             if task.phase in _HAS_IMAGE and job is not None and shape is not None:
                 machine.used_image(job.spec.image, job.spec.image_gb, shape.cache_gb)
             if task.phase != "exited" or split is None:
@@ -430,8 +474,9 @@
                 # A job that fails wherever it goes says nothing of the machine.
                 if len(failed_on) <= 2:
                     machine.errors += 1
-                    log.info("machine %s: %s failed, %d errors", machine.name, task.task,
-                             machine.errors)  # fmt: skip
+                    log.info(
+                        "machine %s: %s failed, %d errors", machine.name, task.task, machine.errors
+                    )
         if machine.errors >= self._errors_to_distrust and not machine.distrusted:
             machine.distrusted = True
             self._release(machine, "fails its tasks")
@@ -440,22 +485,24 @@
         """A placing is committed: start it without waiting for the machine's next report."""
         if not self._leading or not self._leadership.may_start() or not job.startable:
             return
-        machine = self.book.machines.get(name)
+        machine = self.inventory.machines.get(name)
         if machine is None or machine.tenure != attempt.tenure or machine.releasing:
             return
-        self._pushes.push(machine, Order("run", task_name(job.id, attempt.task), attempt.number))
+        self._command_sender.push(
+            machine, Order("run", task_name(job.id, attempt.task), attempt.number)
+        )
 
     def _withdrawn(self, job: Job) -> None:
         if self._leading:
-            self._withdrawing.end(job)
+            self._withdrawn_tasks.end(job)
 
     def _gang_ending(self, job: Job) -> None:
         if self._leading:
-            self._stopping.end_gang(job)
+            self._stops.end_gang(job)
 
     def _push_done(self, message: PushDone) -> None:
-        self._pushes.ended(message.machine)
-        machine = self.book.machines.get(message.machine)
+        self._command_sender.ended(message.machine)
+        machine = self.inventory.machines.get(message.machine)
         if machine is None:
             return
         if not message.sent or message.report is not None:
@@ -474,10 +521,10 @@
         begun_us = self._clock.now_us()
         for node, offer in self._offers.plan():
             self.spawn(self._send_offer(node, offer))
-        if self._renting.gangs_stuck() and begun_us - self._preempt_us > _GANG_PREEMPT_US:
+        if self._scaler.gangs_stuck() and begun_us - self._preempt_us > _GANG_PREEMPT_US:
             # They are to begin within seconds: not left for the next tick.
             self._preempt_us = begun_us
-            self._preempt(self._renting.waiting())
+            self._preempt(self._scaler.waiting())
         self._plan_rest_us = _PLAN_REST * (self._clock.now_us() - begun_us)
 
     async def _send_offer(self, node: str, offer: Offer) -> None:
@@ -518,25 +565,25 @@
         if now_us - self._asked_list_us > _LIST_US:
             self._asked_list_us = now_us
             self.spawn(self.cloud.refresh_list())
-        for name in list(self._board.by_machine):
-            if name not in self.book.machines:
+        for name in list(self._registry.by_machine):
+            if name not in self.inventory.machines:
                 self._rumour(name)
         self._offers.refresh()
         self._draw()
-        for machine, why in self._withdrawing.overdue(self._listening_us):
+        for machine, why in self._withdrawn_tasks.overdue(self._listening_us):
             self._release(machine, why, served=False)
         self._suspect()
-        self._telling.turn()
-        self._late_starts.turn()
-        self._stopping.forget_settled()
+        self._outcome_sender.send_due()
+        self._stale_starts.check()
+        self._stops.forget_settled()
         self._save_gangs()
-        for job_id in [j for j in self._failed_on if j not in self._board.jobs]:
+        for job_id in [j for j in self._failed_on if j not in self._registry.jobs]:
             del self._failed_on[job_id]
         if now_us - self._orphans_us > _ORPHANS_US:
             self._orphans_us = now_us
             self.spawn(self._upkeep.clear_orphans())
         # Worked out once for all who ask: it walks all that waits, by each team's limit.
-        waiting = self._renting.waiting()
+        waiting = self._scaler.waiting()
         if now_us - self._preempt_us > _PREEMPT_US:
             self._preempt_us = now_us
             self._preempt(waiting)
@@ -549,7 +596,7 @@
         self._poke()
 
     def _ready_to_rent(self) -> bool:
-        """Whether the book can be believed: else machines we don't know of are rented again."""
+        """Whether the inventory is complete: else machines not known here are rented again."""
         if not self._listed or not self._priced or not self._leadership.may_start():
             return False
         if self._first:
@@ -558,7 +605,7 @@
 
     def _rumour(self, name: str) -> None:
         """A record names a machine that nothing else has told of."""
-        if self.book.gone(name) or name in self.book.machines:
+        if self.inventory.gone(name) or name in self.inventory.machines:
             return
         machine = self._adopt(name, "", "", False, "up")
         machine.rumoured = True
@@ -569,7 +616,7 @@
             name, kind, zone, spot, "up" if phase == "up" else "booting", now_us, now_us
         )
         machine.seen_us = now_us
-        self.book.machines[name] = machine
+        self.inventory.machines[name] = machine
         return machine
 
     def _draw(self) -> None:
@@ -583,20 +630,23 @@
         if now_us - self._since_us < _DRAW_AFTER_US or not self._leadership.may_start():
             return
         strays = [
-            m for m in self.book.machines.values()
-            if m.phase == "up" and (m.must_prove or not m.hears)
-            and m.address is not None and not m.releasing
+            m
+            for m in self.inventory.machines.values()
+            if m.phase == "up"
+            and (m.must_prove or not m.hears)
+            and m.address is not None
+            and not m.releasing
             and (m.probed_us is None or now_us - m.probed_us > _DRAW_AFTER_US)
-        ]  # fmt: skip
+        ]
         for machine in strays[:_MOST_DRAWN]:
-            self._pushes.probe(machine)
+            self._command_sender.probe(machine)
 
     def _suspect(self) -> None:
         """Release machines that say nothing, but not while workers look for their new leader."""
         now_us = self._clock.now_us()
         if now_us - self._listening_us < TAKEOVER_US or not self._leadership.may_start():
             return
-        for machine, why in self._suspects.turn(self._listening_us):
+        for machine, why in self._failure_detector.overdue(self._listening_us):
             self._release(machine, why)
 
     # The cloud.
@@ -605,9 +655,9 @@
         now_us = self._clock.now_us()
         self._listed = True
         for row in message.machines:
-            if self.book.gone(row.name):
+            if self.inventory.gone(row.name):
                 continue
-            machine = self.book.machines.get(row.name)
+            machine = self.inventory.machines.get(row.name)
             if row.phase == "failed":
                 if machine is None:
                     machine = self._adopt(row.name, row.type, row.zone, row.spot, "booting")
@@ -619,8 +669,12 @@
                 phase = "up" if row.phase == "running" else "booting"
                 machine = self._adopt(row.name, row.type, row.zone, row.spot, phase)
                 machine.rented_us = now_us - to_us(row.held_s)
-                log.info("machine %s (%s, %s) listed, not known: taken over", row.name,
-                         row.type, row.zone)  # fmt: skip
+                log.info(
+                    "machine %s (%s, %s) listed, not known: taken over",
+                    row.name,
+                    row.type,
+                    row.zone,
+                )
             elif machine.rumoured:
                 machine.rumoured = False
                 machine.type, machine.zone, machine.spot = row.type, row.zone, row.spot
@@ -643,21 +697,23 @@
             self.cloud.release([machine.name], served=served)
 
     def _give_back(self, back: GiveBack) -> None:
-        machine = self.book.machines.get(back.machine)
+        machine = self.inventory.machines.get(back.machine)
         if machine is None:
             return
-        if self._board.attempts_on(machine.name) or self._offers.reserved(machine.name):
+        if self._registry.attempts_on(machine.name) or self._offers.reserved(machine.name):
             return
         self._release(machine, back.why)
 
     def _released(self, names: Iterable[str]) -> None:
         for name in names:
-            for key in self._board.attempts_on(name):
-                self._telling.proven(Outcome(task_name(key[0], key[1]), key[2], name, "lost"))
-            self.book.remove(name)
+            for key in self._registry.attempts_on(name):
+                self._outcome_sender.proven(
+                    Outcome(task_name(key[0], key[1]), key[2], name, "lost")
+                )
+            self.inventory.remove(name)
             self._offers.touch(name)
-            self._pushes.forget(name)
-        self._telling.turn()
+            self._command_sender.forget(name)
+        self._outcome_sender.send_due()
         self._poke()
 
     def _know_types(self) -> None:
@@ -666,13 +722,13 @@
         It may be down when the leader is replaced, and what is free can be used all the same.
         """
         value = self._mirror.value(records.TYPES_KEY)
-        if value is not None and not self.book.types:
-            self.book.types = {t.name: t for t in records.decode_types(value)}
+        if value is not None and not self.inventory.types:
+            self.inventory.types = {t.name: t for t in records.decode_types(value)}
 
     def _typed(self, types: tuple[MachineType, ...]) -> None:
         self._priced = True
-        self.book.types = {t.name: t for t in types}
-        for name in self.book.machines:
+        self.inventory.types = {t.name: t for t in types}
+        for name in self.inventory.machines:
             self._offers.touch(name)
         if not self._upkeep.types_written(types):
             self.spawn(self._write_types(types))
@@ -690,34 +746,45 @@
         if not self._leadership.may_start():
             return
         now_us = self._clock.now_us()
-        for victim in self._preempting.victims(waiting, self._stopping):
+        for victim in self._preemptor.victims(waiting, self._stops):
             spec, attempt = victim.job.spec, victim.attempt
-            grace_s = self._preempting.grace_s(victim)
+            grace_s = self._preemptor.grace_s(victim)
             claim_us = now_us + _CLAIM_US + to_us(grace_s)
             self._offers.claim(attempt.machine, claim_us, victim.wanted_by)
-            log.info("stopping %s/%d attempt %d on %s for more urgent work",
-                     spec.id, attempt.task, attempt.number, attempt.machine)  # fmt: skip
-            self._stopping.stop(victim.job, attempt, grace_s)
+            log.info(
+                "stopping %s/%d attempt %d on %s for more urgent work",
+                spec.id,
+                attempt.task,
+                attempt.number,
+                attempt.machine,
+            )
+            self._stops.stop(victim.job, attempt, grace_s)
 
     def _move(self, waiting: list[WaitingTasks]) -> None:
         """Move replicas together, while nothing waits for room."""
         if waiting:
             return
-        for job, attempt in self._moving.turn():
-            log.info("moving %s/%d attempt %d off %s",
-                     job.id, attempt.task, attempt.number, attempt.machine)  # fmt: skip
-            self._stopping.stop(job, attempt, 0.0)
+        for job, attempt in self._consolidator.choose():
+            log.info(
+                "moving %s/%d attempt %d off %s",
+                job.id,
+                attempt.task,
+                attempt.number,
+                attempt.machine,
+            )
+            self._stops.stop(job, attempt, 0.0)
 
     def _save_gangs(self) -> None:
         """Stop gangs that would lose a machine to its notice, as long as all of them can save."""
-        for job in list(self._stopping.gangs_to_save()):
-            log.info("stopping %s, all %d tasks: a machine of it is to be taken",
-                     job.id, job.spec.tasks)  # fmt: skip
-            self._stopping.stop_gang(job)
+        for job in list(self._stops.gangs_to_save()):
+            log.info(
+                "stopping %s, all %d tasks: a machine of it is to be taken", job.id, job.spec.tasks
+            )
+            self._stops.stop_gang(job)
 
     def _run_factory(self, waiting: list[WaitingTasks]) -> None:
-        wanted, returned = self._renting.turn(
-            waiting, self._offers.room, self._calls_left(), self._moving.emptying()
+        wanted, returned = self._scaler.decide(
+            waiting, self._offers.room, self._calls_left(), self._consolidator.emptying()
         )
         for back in returned:
             self._give_back(back)
--- a/mosswalk/fleet/moving.py
+++ b/mosswalk/fleet/moving.py
@@ -6,9 +6,9 @@
 
 from mosswalk.actors import SECOND_US, Clock
 from mosswalk.factory.consolidate import Host, to_empty
-from mosswalk.fleet.book import Book, Machine
+from mosswalk.fleet.inventory import Inventory, Machine
 from mosswalk.fleet.offers import Offers
-from mosswalk.jobs.board import AttemptKey, Board
+from mosswalk.jobs.registry import AttemptKey, JobRegistry
 from mosswalk.jobs.state import Job
 from mosswalk.store.records import Attempt
 
@@ -22,12 +22,14 @@
 _RUNNING_A_MOVE = 250
 
 
-class Moving:
+class Consolidator:
     """Chooses replicas to stop; the team owners place them again like any other."""
 
-    def __init__(self, book: Book, board: Board, offers: Offers, clock: Clock) -> None:
-        self._book = book
-        self._board = board
+    def __init__(
+        self, inventory: Inventory, registry: JobRegistry, offers: Offers, clock: Clock
+    ) -> None:
+        self._inventory = inventory
+        self._registry = registry
         self._offers = offers
         self._clock = clock
         self._seen_us: dict[AttemptKey, int] = {}
@@ -41,13 +43,13 @@
         return set(self._emptying)
 
     def _host(self, machine: Machine, before: dict[AttemptKey, int], now_us: int) -> Host | None:
-        room, shape = self._offers.room(machine), self._book.types.get(machine.type)
+        room, shape = self._offers.room(machine), self._inventory.types.get(machine.type)
         if room is None or shape is None or not machine.has_replica:
             return None
         replicas: list[tuple[Job, Attempt]] = []
         settled = True
-        for key, attempt in self._board.attempts_on(machine.name).items():
-            job = self._board.jobs.get(key[0])
+        for key, attempt in self._registry.attempts_on(machine.name).items():
+            job = self._registry.jobs.get(key[0])
             if job is None or not job.open or job.spec.kind != "daemon":
                 settled = False
                 continue
@@ -57,22 +59,24 @@
         price = shape.spot_price if machine.spot else shape.price
         return Host(room, machine.load(shape), price, replicas, settled)
 
-    def turn(self) -> list[tuple[Job, Attempt]]:
+    def choose(self) -> list[tuple[Job, Attempt]]:
         """The replicas to stop now."""
         now_us = self._clock.now_us()
         before, self._seen_us = self._seen_us, {}
-        found = (self._host(machine, before, now_us) for machine in self._book.machines.values())
+        found = (
+            self._host(machine, before, now_us) for machine in self._inventory.machines.values()
+        )
         hosts = [host for host in found if host is not None]
         running = sum(len(host.replicas) for host in hosts)
         self._moved = {
             job_id
             for job_id in self._moved
-            if (job := self._board.jobs.get(job_id)) is not None and job.pending_count() > 0
+            if (job := self._registry.jobs.get(job_id)) is not None and job.pending_count() > 0
         }
         if self._moved:
             # One that was stopped has no place yet: first things first.
             return []
-        host = to_empty(hosts, self._book.zone_of())
+        host = to_empty(hosts, self._inventory.zone_of())
         if host is None:
             return []
         name = host.room.machine
--- a/mosswalk/fleet/offers.py
+++ b/mosswalk/fleet/offers.py
@@ -8,18 +8,18 @@
 
 from mosswalk.actors import SECOND_US, Clock, to_us
 from mosswalk.config import Settings
-from mosswalk.fleet.book import Book, Machine
-from mosswalk.fleet.renting import Renting
+from mosswalk.fleet.inventory import Inventory, Machine
+from mosswalk.fleet.renting import FleetScaler
 from mosswalk.jobs.admission import fits_type
-from mosswalk.jobs.board import AttemptKey, Board
+from mosswalk.jobs.registry import AttemptKey, JobRegistry
 from mosswalk.jobs.state import Job, Usage, milli_room, task_name
 from mosswalk.leadership.actor import Leadership
+from mosswalk.placement.capacity import Room, room_to_keep
 from mosswalk.placement.queues import (
     TeamQueue,
     Urgency,
     serve_in_turn,
 )
-from mosswalk.placement.rooms import Room, room_to_keep
 from mosswalk.store.mirror import Mirror
 from mosswalk.wire.peers import Offer, OfferAnswer, SlotOffer, TeamOffer
 
@@ -47,15 +47,21 @@
     """What is free where, what of it is offered, and to whom."""
 
     def __init__(
-        self, settings: Settings, mirror: Mirror, board: Board, book: Book,
-        leadership: Leadership, renting: Renting, clock: Clock,
+        self,
+        settings: Settings,
+        mirror: Mirror,
+        registry: JobRegistry,
+        inventory: Inventory,
+        leadership: Leadership,
+        renting: FleetScaler,
+        clock: Clock,
         failed_on: Mapping[str, set[str]],
-    ) -> None:  # fmt: skip
+    ) -> None:
         self._mirror = mirror
-        self._board = board
-        self._book = book
+        self._registry = registry
+        self._inventory = inventory
         self._leadership = leadership
-        self._renting = renting
+        self._scaler = renting
         self._clock = clock
         self._failed_on = failed_on
         self._urgency = Urgency(settings.params.objectives, settings.params.teams)
@@ -76,7 +82,7 @@
         self._changed: set[str] = set()
         self._cordoned: set[str] = set()
         self._reserved: dict[str, list[SlotOffer]] = {}
-        board.on_machine.append(self.touch)
+        registry.on_machine.append(self.touch)
 
     def reset(self) -> None:
         """Forget all: another controller leads."""
@@ -95,9 +101,9 @@
         for name in [n for n, (until_us, _) in self._claims.items() if until_us < now_us]:
             del self._claims[name]
             self.touch(name)
-        self._changed |= self._cordoned ^ self._renting.cordoned
-        self._cordoned = self._renting.cordoned
-        for name, machine in self._book.machines.items():
+        self._changed |= self._cordoned ^ self._scaler.cordoned
+        self._cordoned = self._scaler.cordoned
+        for name, machine in self._inventory.machines.items():
             room = self._rooms.get(name)
             if name not in self._rooms or (room is not None and self.quiet(machine)):
                 self.touch(name)
@@ -110,7 +116,7 @@
         """What is free on every machine that may be used. To be copied before it is changed."""
         changed, self._changed = self._changed, set()
         for name in sorted(changed):
-            machine = self._book.machines.get(name)
+            machine = self._inventory.machines.get(name)
             if machine is None:
                 self._rooms.pop(name, None)
             else:
@@ -151,7 +157,7 @@
 
         The records show an exit later, as writes are scarce; its room need not wait for that.
         """
-        for key in self._board.attempts_on(machine.name):
+        for key in self._registry.attempts_on(machine.name):
             reported = machine.tasks.get((task_name(key[0], key[1]), key[2]))
             if reported is None or reported.phase != "exited":
                 yield key
@@ -160,7 +166,7 @@
         machine.used_cpus = sum(job.cpus for job in running)
         machine.used_memory = sum(job.memory for job in running)
         machine.has_replica = any(job.spec.kind == "daemon" for job in running)
-        attempts = self._board.attempts_on(machine.name)
+        attempts = self._registry.attempts_on(machine.name)
         idle = not attempts and not any(t.phase != "exited" for t in machine.tasks.values())
         if machine.phase != "up" or not idle:
             machine.idle_since_us = None
@@ -168,10 +174,10 @@
             machine.idle_since_us = self._clock.now_us()
 
     def _build(self, machine: Machine) -> Room | None:
-        jobs = self._board.jobs
+        jobs = self._registry.jobs
         running = [jobs[key[0]] for key in self.taking(machine) if key[0] in jobs]
         self._note_use(machine, running)
-        shape = self._book.types.get(machine.type)
+        shape = self._inventory.types.get(machine.type)
         if (
             shape is None
             or machine.phase != "up"
@@ -197,7 +203,7 @@
             images=frozenset(machine.images),
             core_price=price / max(1.0, shape.cpus),
             fetch_s_per_gb=1.0 / max(0.001, shape.fetch_gb_per_s),
-            cordoned=machine.name in self._renting.cordoned,
+            cordoned=machine.name in self._scaler.cordoned,
             claimed_by=self._claimants(machine.name),
         )
         for job in running:
@@ -218,7 +224,7 @@
             for job in queue.stuck:
                 if not queue.is_overdue(job) or any(job.id in c[1] for c in self._claims.values()):
                     continue
-                shapes = {n for n, t in self._book.types.items() if fits_type(job.spec, t)}
+                shapes = {n for n, t in self._inventory.types.items() if fits_type(job.spec, t)}
                 kept = room_to_keep(job, rooms, shapes)
                 if kept is not None:
                     log.info("keeping room on %s for %s, overdue", kept.machine, job.id)
@@ -256,13 +262,18 @@
         key = (job.spec.team, room.machine)
         before = slots.get(key)
         slots[key] = SlotOffer(
-            room.machine, room.type, room.zone, room.spot, room.tenure,
+            room.machine,
+            room.type,
+            room.zone,
+            room.spot,
+            room.tenure,
             job.cpus + (before.cpus if before else 0),
             job.gpus + (before.gpus if before else 0),
             job.memory + (before.memory if before else 0),
-            tuple(room.images), room.core_price,
+            tuple(room.images),
+            room.core_price,
             room.fetch_s_per_gb,
-        )  # fmt: skip
+        )
 
     def plan(self) -> list[tuple[str, Offer]]:
         """Offer free room to the teams in turn: a message for each owner that gets some."""
@@ -272,25 +283,33 @@
         now_us = self._clock.now_us()
         self._drop_reservations()
         busy = {r.node for r in self._reservations}
-        unplaced = self._board.unplaced
+        unplaced = self._registry.unplaced
         if not any(unplaced.values()):
             # In calm times most plans find nothing to place: no need to look at the machines.
-            self._renting.nothing_stuck()
+            self._scaler.nothing_stuck()
             return []
         rooms = self.rooms()
-        usage = self._board.usage()
-        zones = self._book.zone_of()
+        usage = self._registry.usage()
+        zones = self._inventory.zone_of()
         queues = [
-            TeamQueue(team, unplaced.get(name, {}).values(), usage.get(name) or Usage(), zones,
-                      self._failed_on, {}, self._urgency, self._clock.wall_us())
+            TeamQueue(
+                team,
+                unplaced.get(name, {}).values(),
+                usage.get(name) or Usage(),
+                zones,
+                self._failed_on,
+                {},
+                self._urgency,
+                self._clock.wall_us(),
+            )
             for name, team in self._teams.items()
             if term.owners.get(name) not in busy and self._cool.get(name, 0) <= now_us
-        ]  # fmt: skip
+        ]
         slots: dict[tuple[str, str], SlotOffer] = {}
         for placing in serve_in_turn(queues, rooms, self._shares):
             for _, room in placing.places():
                 self._add_slot(slots, placing.job, room)
-        self._renting.note_stuck(queues)
+        self._scaler.note_stuck(queues)
         self._keep_room(queues, rooms)
         by_node: dict[str, dict[str, list[SlotOffer]]] = {}
         for (team, _), slot in slots.items():
--- a/mosswalk/fleet/telling.py
+++ b/mosswalk/fleet/outcome_sender.py
@@ -8,7 +8,7 @@
 from typing import Protocol
 
 from mosswalk.actors import Clock
-from mosswalk.jobs.board import Board
+from mosswalk.jobs.registry import JobRegistry
 from mosswalk.jobs.state import split_task_name
 from mosswalk.leadership.actor import Leadership
 from mosswalk.placement.owner import Owner
@@ -32,14 +32,19 @@
     sent_us: int = 0
 
 
-class Telling:
+class OutcomeSender:
     """Outcomes that the records don't show yet."""
 
     def __init__(
-        self, board: Board, leadership: Leadership, owner: Owner, peers: OutcomeLink,
-        spawn: Callable[[Awaitable[None]], None], clock: Clock,
-    ) -> None:  # fmt: skip
-        self._board = board
+        self,
+        registry: JobRegistry,
+        leadership: Leadership,
+        owner: Owner,
+        peers: OutcomeLink,
+        spawn: Callable[[Awaitable[None]], None],
+        clock: Clock,
+    ) -> None:
+        self._registry = registry
         self._leadership = leadership
         self._owner = owner
         self._peers = peers
@@ -60,7 +65,7 @@
         """The cloud has confirmed it: whatever was told before, this is sent at once."""
         self._told[(outcome.task, outcome.attempt)] = _Told(outcome)
 
-    def turn(self) -> None:
+    def send_due(self) -> None:
         """Send what is due."""
         term = self._leadership.term
         if term is None:
@@ -69,7 +74,7 @@
         by_node: dict[str, list[Outcome]] = {}
         for key, told in list(self._told.items()):
             split = split_task_name(told.outcome.task)
-            job = self._board.jobs.get(split[0]) if split is not None else None
+            job = self._registry.jobs.get(split[0]) if split is not None else None
             if split is None or job is None or job.find(split[1], key[1]) is None:
                 # The record shows it: the worker's next report gets its reap.
                 del self._told[key]
--- a/mosswalk/fleet/preempting.py
+++ b/mosswalk/fleet/preempting.py
@@ -8,13 +8,13 @@
 from mosswalk.actors import Clock, to_us
 from mosswalk.config import Settings
 from mosswalk.factory.loop import WaitingTasks
-from mosswalk.fleet.book import Book
+from mosswalk.fleet.inventory import Inventory
 from mosswalk.fleet.offers import Offers
-from mosswalk.jobs.board import AttemptKey, Board
+from mosswalk.jobs.registry import AttemptKey, JobRegistry
 from mosswalk.jobs.state import PRIORITIES, Job, Usage
+from mosswalk.placement.capacity import Room
 from mosswalk.placement.preemption import Victim, choose_victims, worth_saving
-from mosswalk.placement.queues import shielded, within
-from mosswalk.placement.rooms import Room
+from mosswalk.placement.queues import fits_quota, shielded
 
 _MOST_VICTIMS = 16
 # How long a task takes to start once there is room, with its image at hand.
@@ -22,15 +22,20 @@
 _IDLE_RANK = PRIORITIES.index("idle")
 
 
-class Preempting:
+class Preemptor:
     """Shows the choice what runs where and what waits."""
 
     def __init__(
-        self, settings: Settings, book: Book, board: Board, offers: Offers, clock: Clock
+        self,
+        settings: Settings,
+        inventory: Inventory,
+        registry: JobRegistry,
+        offers: Offers,
+        clock: Clock,
     ) -> None:
         self._teams = {team.name: team for team in settings.params.teams}
-        self._book = book
-        self._board = board
+        self._inventory = inventory
+        self._registry = registry
         self._offers = offers
         self._clock = clock
         # By when the users want jobs of a class to begin.
@@ -44,7 +49,7 @@
         spec = victim.job.spec
         if not worth_saving(spec):
             return 0.0
-        wanting = self._board.jobs.get(victim.wanted_by)
+        wanting = self._registry.jobs.get(victim.wanted_by)
         if wanting is not None and self._would_miss_its_start(wanting, spec.save_s):
             return 0.0
         return spec.save_s
@@ -59,13 +64,13 @@
 
     def _guaranteed(self, job: Job, usage: Mapping[str, Usage]) -> bool:
         used = usage.get(job.spec.team) or Usage()
-        return within(self._teams[job.spec.team], used, job, limit=False)
+        return fits_quota(self._teams[job.spec.team], used, job, limit=False)
 
     def victims(
         self, waiting: Iterable[WaitingTasks], stopping: Container[AttemptKey]
     ) -> list[Victim]:
         """Whom to stop now for tasks that wait, besides those that are being stopped already."""
-        usage = self._board.usage()
+        usage = self._registry.usage()
         stuck = [
             (w.job, w.count)
             for w in waiting
@@ -80,10 +85,10 @@
         for shared in self._offers.rooms():
             room = replace(shared)
             rooms.append(room)
-            attempts = self._board.attempts_on(room.machine)
+            attempts = self._registry.attempts_on(room.machine)
             # Room of reported exits is free already: counted again, too little would be stopped.
-            for key in self._offers.taking(self._book.machines[room.machine]):
-                job, attempt = self._board.jobs.get(key[0]), attempts[key]
+            for key in self._offers.taking(self._inventory.machines[room.machine]):
+                job, attempt = self._registry.jobs.get(key[0]), attempts[key]
                 if job is None:
                     continue
                 if key in stopping or not job.open:
@@ -93,5 +98,5 @@
                     victim = Victim(job, attempt, shielded=shielded(job, wall_us))
                     running.setdefault(room.machine, []).append(victim)
         return choose_victims(
-            stuck, rooms, running, self._teams, usage, self._book.zone_of(), _MOST_VICTIMS
+            stuck, rooms, running, self._teams, usage, self._inventory.zone_of(), _MOST_VICTIMS
         )
--- a/mosswalk/fleet/visitors.py
+++ b/mosswalk/fleet/recent_workers.py
@@ -17,34 +17,34 @@
 _PART = 10
 
 
-class Visitors:
+class RecentWorkers:
     """Machines whose workers came to a controller that does not lead, within a while."""
 
     def __init__(self, while_us: int, clock: Clock) -> None:
         self._while_us = while_us
         self._clock = clock
-        self._came_us: OrderedDict[str, int] = OrderedDict()
+        self._seen_us: OrderedDict[str, int] = OrderedDict()
 
-    def came(self, machine: str) -> None:
+    def record(self, machine: str) -> None:
         """A worker was sent on."""
-        self._came_us[machine] = self._clock.now_us()
-        self._came_us.move_to_end(machine)
+        self._seen_us[machine] = self._clock.now_us()
+        self._seen_us.move_to_end(machine)
         self._drop_old()
 
     def knows(self, machine: str) -> bool:
         """Whether a machine's worker came within the while."""
         self._drop_old()
-        return machine in self._came_us
+        return machine in self._seen_us
 
     def count(self) -> int:
         """How many came within the while."""
         self._drop_old()
-        return len(self._came_us)
+        return len(self._seen_us)
 
     def _drop_old(self) -> None:
         oldest_us = self._clock.now_us() - self._while_us
-        while self._came_us and next(iter(self._came_us.values())) < oldest_us:
-            self._came_us.popitem(last=False)
+        while self._seen_us and next(iter(self._seen_us.values())) < oldest_us:
+            self._seen_us.popitem(last=False)
 
 
 def cut_from_workers(up: int, heard: int, elsewhere: int) -> bool:
--- a/mosswalk/fleet/renting.py
+++ b/mosswalk/fleet/renting.py
@@ -19,12 +19,12 @@
     View,
     WaitingTasks,
 )
-from mosswalk.fleet.book import Book, Machine
+from mosswalk.fleet.inventory import Inventory, Machine
 from mosswalk.jobs.admission import fits_type
-from mosswalk.jobs.board import Board
+from mosswalk.jobs.registry import JobRegistry
 from mosswalk.jobs.state import PRIORITIES, Job, Usage, milli_room
-from mosswalk.placement.queues import TeamQueue, most_within, within
-from mosswalk.placement.rooms import Room, zone_rule
+from mosswalk.placement.capacity import Room, zone_rule
+from mosswalk.placement.queues import TeamQueue, fits_quota, most_within
 
 log = logging.getLogger(__name__)
 
@@ -34,14 +34,16 @@
 _ZONE_TURN_US = 30 * SECOND_US
 
 
-class Renting:
+class FleetScaler:
     """Shows the factory what there is, and keeps what it has asked for."""
 
-    def __init__(self, settings: Settings, book: Book, board: Board, clock: Clock) -> None:
+    def __init__(
+        self, settings: Settings, inventory: Inventory, registry: JobRegistry, clock: Clock
+    ) -> None:
         self._tuning = settings.tuning.factory
         self._teams = {team.name: team for team in settings.params.teams}
-        self._book = book
-        self._board = board
+        self._inventory = inventory
+        self._registry = registry
         self._clock = clock
         self.reset()
 
@@ -62,7 +64,7 @@
         """Jobs whose next task found no room.
 
         Teams whose owner is busy keep what was found last time: a gap would restart the
-        factory's dwell and every job's patience.
+        factory's dwell and every job's silence_limits.
         """
         now_us = self._clock.now_us()
         self._stuck.update({queue.team.name: queue.stuck for queue in queues})
@@ -75,9 +77,7 @@
     def gangs_stuck(self) -> bool:
         """Whether gangs that others may be stopped for found no room."""
         return any(
-            job.is_gang and job.rank < _IDLE_RANK
-            for jobs in self._stuck.values()
-            for job in jobs
+            job.is_gang and job.rank < _IDLE_RANK for jobs in self._stuck.values() for job in jobs
         )
 
     def nothing_stuck(self) -> None:
@@ -87,11 +87,11 @@
 
     def waiting(self) -> list[WaitingTasks]:
         """Tasks that found no room, as far as their team's limit lets them run."""
-        zones = self._book.zone_of()
-        usage = self._board.usage()
+        zones = self._inventory.zone_of()
+        usage = self._registry.usage()
         waiting: list[WaitingTasks] = []
         for stuck in [job for jobs in self._stuck.values() for job in jobs]:
-            job = self._board.jobs.get(stuck.id)
+            job = self._registry.jobs.get(stuck.id)
             if job is None:
                 continue
             team = self._teams.get(job.spec.team)
@@ -99,7 +99,7 @@
             if team is None or rule is None or not job.open:
                 continue
             own = usage.setdefault(team.name, Usage())
-            guaranteed = within(team, own, job, limit=False)
+            guaranteed = fits_quota(team, own, job, limit=False)
             patient = self._patient(job, guaranteed)
             count = most_within(team, own, job, min(job.pending_count(), 2000))
             own.add(job, count)
@@ -122,11 +122,13 @@
         zones = self._gang_zones.get(job.id)
         if not zones:
             there = Counter(
-                m.zone for m in self._book.machines.values() if not m.releasing and not m.rumoured
+                m.zone
+                for m in self._inventory.machines.values()
+                if not m.releasing and not m.rumoured
             )
             fitting = {
                 zone
-                for shape in self._book.types.values()
+                for shape in self._inventory.types.values()
                 if fits_type(job.spec, shape)
                 for zone in shape.zones
                 if job.spec.zone in (None, zone)
@@ -143,9 +145,9 @@
             return False
         now_us = self._clock.now_us()
         waited_us = now_us - self._stuck_since.get(job.id, now_us)
-        boot_s = max((t.boot_s for t in self._book.types.values()), default=0.0)
+        boot_s = max((t.boot_s for t in self._inventory.types.values()), default=0.0)
         # What counts for the work is when a steady machine would be up, so a slow boot leaves
-        # less patience. Idle work waits twice as long: nobody is held up by it.
+        # less silence_limits. Idle work waits twice as long: nobody is held up by it.
         patience_s = self._tuning.steady_within_s * (job.rank - 1) - boot_s
         if waited_us >= to_us(patience_s):
             return False
@@ -155,18 +157,24 @@
 
     def _view(self, waiting: list[WaitingTasks], calls: int) -> View:
         machines: list[MachineView] = []
-        for machine in self._book.machines.values():
+        for machine in self._inventory.machines.values():
             if machine.releasing or machine.rumoured:
                 continue
-            shape = self._book.types.get(machine.type)
+            shape = self._inventory.types.get(machine.type)
             load = machine.load(shape) if shape is not None else 0.0
             machines.append(
                 MachineView(
-                    machine.name, (machine.type, machine.zone, machine.spot), machine.phase,
-                    machine.since_us, machine.rented_us, machine.notice_until_us is None,
-                    machine.idle_since_us, load, machine.name in self.cordoned,
+                    machine.name,
+                    (machine.type, machine.zone, machine.spot),
+                    machine.phase,
+                    machine.since_us,
+                    machine.rented_us,
+                    machine.notice_until_us is None,
+                    machine.idle_since_us,
+                    load,
+                    machine.name in self.cordoned,
                 )
-            )  # fmt: skip
+            )
         now_us = self._clock.now_us()
         for pool, count in self._asked.items():
             for i in range(count):
@@ -174,23 +182,25 @@
                 machines.append(
                     MachineView(name, pool, "requested", now_us, now_us, True, None, 0.0)
                 )
-        return View(now_us, self._book.types, machines, waiting, calls)
+        return View(now_us, self._inventory.types, machines, waiting, calls)
 
     def _occupancy(self, room_of: Callable[[Machine], Room | None]) -> list[Occupancy]:
         found: list[Occupancy] = []
-        for machine in self._book.machines.values():
-            room, shape = room_of(machine), self._book.types.get(machine.type)
+        for machine in self._inventory.machines.values():
+            room, shape = room_of(machine), self._inventory.types.get(machine.type)
             if room is None or shape is None:
                 continue
             found.append(
                 Occupancy(
                     machine.name,
-                    milli_room(shape.cpus) - room.cpus, max(0, room.cpus),
-                    milli_room(shape.memory_gb) - room.memory, max(0, room.memory),
+                    milli_room(shape.cpus) - room.cpus,
+                    max(0, room.cpus),
+                    milli_room(shape.memory_gb) - room.memory,
+                    max(0, room.memory),
                     shape.spot_price if machine.spot else shape.price,
                     not machine.has_replica,
                 )
-            )  # fmt: skip
+            )
         return found
 
     def came_up(self, machine: Machine, calls: int) -> list[GiveBack]:
@@ -216,22 +226,27 @@
         if len(message.machines) < len(message.groups):
             log.info(
                 "pool %s: %d of %d to be had",
-                "/".join(map(str, pool)), len(message.machines), len(message.groups),
-            )  # fmt: skip
+                "/".join(map(str, pool)),
+                len(message.machines),
+                len(message.groups),
+            )
             self._factory.refused(pool, now_us)
         for group in message.groups[len(message.machines) :]:
             self._factory.group_short(group, pool)
         for name, group in zip(message.machines, message.groups, strict=False):
             log.info("rented %s in %s (group %d)", name, "/".join(map(str, pool)), group)
-            if name not in self._book.machines and not self._book.gone(name):
+            if name not in self._inventory.machines and not self._inventory.gone(name):
                 machine = Machine(name, *pool, "requested", now_us, now_us)
                 machine.group = group
-                self._book.machines[name] = machine
+                self._inventory.machines[name] = machine
 
-    def turn(
-        self, waiting: list[WaitingTasks], room_of: Callable[[Machine], Room | None], calls: int,
+    def decide(
+        self,
+        waiting: list[WaitingTasks],
+        room_of: Callable[[Machine], Room | None],
+        calls: int,
         emptying: set[str],
-    ) -> tuple[dict[Pool, tuple[int, ...]], list[GiveBack]]:  # fmt: skip
+    ) -> tuple[dict[Pool, tuple[int, ...]], list[GiveBack]]:
         """One turn of the loops: rents by pool, and machines to return."""
         now_us = self._clock.now_us()
         if now_us - self._cordoned_us >= _CORDON_US:
--- a/mosswalk/fleet/orders.py
+++ b/mosswalk/fleet/report_evaluation.py
@@ -5,14 +5,14 @@
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 
-from mosswalk.fleet.book import Machine
-from mosswalk.jobs.board import AttemptKey
+from mosswalk.fleet.inventory import Machine
+from mosswalk.jobs.registry import AttemptKey
 from mosswalk.jobs.state import Job, split_task_name, task_name
 from mosswalk.store.records import Attempt
-from mosswalk.wire.peers import Fate, Outcome
+from mosswalk.wire.peers import Outcome, OutcomeKind
 from mosswalk.wire.workers import Order, Report
 
-_FATES: dict[str, Fate] = {
+_FATES: dict[str, OutcomeKind] = {
     "done": "done",
     "stopped": "stopped",
     "error": "error",
@@ -26,7 +26,7 @@
 
 
 @dataclass(slots=True)
-class Judgement:
+class Evaluation:
     """Orders for the worker, and outcomes for the records."""
 
     orders: list[Order] = field(default_factory=list)
@@ -48,7 +48,7 @@
     return kills
 
 
-def judge(
+def evaluate_report(
     machine: Machine,
     report: Report,
     attempts: Mapping[AttemptKey, Attempt],
@@ -58,7 +58,7 @@
     *,
     may_start: bool,
     in_answer: bool,
-) -> Judgement:
+) -> Evaluation:
     """Compare a report with the records.
 
     ``stop_grace`` gives the grace with which an attempt is to be stopped, or None if it is to
@@ -67,7 +67,7 @@
     been made before the worker carried out our last answer to its own report, so what it does
     not list may be about to start.
     """
-    result = Judgement()
+    result = Evaluation()
     listed: set[AttemptKey] = set()
     for task in report.tasks:
         split = split_task_name(task.task)
@@ -78,8 +78,8 @@
         attempt = attempts.get(key)
         if task.phase == "exited":
             if attempt is not None:
-                fate = _FATES.get(task.cause or "", "refused")
-                result.outcomes.append(Outcome(task.task, task.attempt, machine.name, fate))
+                kind = _FATES.get(task.cause or "", "refused")
+                result.outcomes.append(Outcome(task.task, task.attempt, machine.name, kind))
             elif not machine.may_run_late((task.task, task.attempt), epoch):
                 # Reaped only once the record shows the outcome, and only if no start of ours
                 # is still on the way: the worker would know nothing and run it once more.
--- a/mosswalk/fleet/suspicion.py
+++ b/mosswalk/fleet/silence.py
@@ -11,7 +11,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Patience:
+class SilenceLimits:
     """How long to wait, in microseconds."""
 
     # More than one report has been missed.
@@ -25,7 +25,7 @@
 
 
 def quiet_zones(
-    silences: Mapping[str, int], patience: Patience, zone_of: Mapping[str, str]
+    silences: Mapping[str, int], silence_limits: SilenceLimits, zone_of: Mapping[str, str]
 ) -> set[str]:
     """Zones in which many machines are quiet at once.
 
@@ -35,14 +35,14 @@
     """
     there = Counter(zone_of[name] for name in silences)
     quiet = Counter(
-        zone_of[n] for n, silence_us in silences.items() if silence_us > patience.quiet_us
+        zone_of[n] for n, silence_us in silences.items() if silence_us > silence_limits.quiet_us
     )
     return {zone for zone, count in quiet.items() if count >= 3 and count * 3 > there[zone]}
 
 
 def to_release(
     silences: Mapping[str, int],
-    patience: Patience,
+    silence_limits: SilenceLimits,
     zone_of: Mapping[str, str],
     quiet: Container[str],
     cut_off: Container[str] = (),
@@ -55,17 +55,21 @@
 
     def limit_us(zone: str) -> int:
         if zone not in quiet:
-            return patience.silent_us
-        return patience.silent_us + (patience.kept_us if zone in cut_off else patience.lease_us)
+            return silence_limits.silent_us
+        return silence_limits.silent_us + (
+            silence_limits.kept_us if zone in cut_off else silence_limits.lease_us
+        )
 
     return sorted(n for n, silence_us in silences.items() if silence_us > limit_us(zone_of[n]))
 
 
-def taken(silence_us: int, notice_until_us: int | None, now_us: int, patience: Patience) -> bool:
+def reclaimed(
+    silence_us: int, notice_until_us: int | None, now_us: int, silence_limits: SilenceLimits
+) -> bool:
     """Whether the cloud has taken a machine back, as it gave notice of.
 
     Its time is known, so one missed report after it is enough: in a wave, waiting for each one's
     full silence keeps all that was lost from starting elsewhere.
     """
     over = notice_until_us is not None and now_us > notice_until_us
-    return over and silence_us > patience.quiet_us // 2
+    return over and silence_us > silence_limits.quiet_us // 2
--- a/mosswalk/fleet/late_starts.py
+++ b/mosswalk/fleet/stale_starts.py
@@ -5,8 +5,8 @@
 import logging
 
 from mosswalk.actors import SECOND_US, Clock
-from mosswalk.fleet.book import Book
-from mosswalk.jobs.board import AttemptKey, Board
+from mosswalk.fleet.inventory import Inventory
+from mosswalk.jobs.registry import AttemptKey, JobRegistry
 from mosswalk.jobs.state import task_name
 from mosswalk.leadership.actor import Leadership
 
@@ -16,12 +16,14 @@
 _LATE_START_US = 5 * SECOND_US
 
 
-class LateStarts:
+class StaleStarts:
     """Unanswered /orders that could still start what must not start any more."""
 
-    def __init__(self, book: Book, board: Board, leadership: Leadership, clock: Clock) -> None:
-        self._book = book
-        self._board = board
+    def __init__(
+        self, inventory: Inventory, registry: JobRegistry, leadership: Leadership, clock: Clock
+    ) -> None:
+        self._inventory = inventory
+        self._registry = registry
         self._leadership = leadership
         self._clock = clock
         self._since_us: dict[AttemptKey, int] = {}
@@ -30,17 +32,17 @@
         """Forget all: another controller leads."""
         self._since_us.clear()
 
-    def turn(self) -> None:
+    def check(self) -> None:
         """Look for them, and have a new term made if one does not go away."""
         now_us = self._clock.now_us()
         epoch = self._leadership.epoch()
         late: dict[AttemptKey, int] = {}
-        for machine in self._book.machines.values():
+        for machine in self._inventory.machines.values():
             if not machine.unanswered:
                 continue
-            for key in self._board.attempts_on(machine.name):
+            for key in self._registry.attempts_on(machine.name):
                 start = (task_name(key[0], key[1]), key[2])
-                job = self._board.jobs.get(key[0])
+                job = self._registry.jobs.get(key[0])
                 # A gang that ends waits for every task of the attempt to be proven gone.
                 over = job is not None and (not job.open or job.ending)
                 if over and machine.may_run_late(start, epoch) and start not in machine.tasks:
--- a/mosswalk/fleet/stopping.py
+++ b/mosswalk/fleet/stopping.py
@@ -11,8 +11,8 @@
 
 from mosswalk.actors import SECOND_US, Clock, to_us
 from mosswalk.config import Settings
-from mosswalk.fleet.book import Book, Machine
-from mosswalk.jobs.board import AttemptKey, Board
+from mosswalk.fleet.inventory import Inventory, Machine
+from mosswalk.jobs.registry import AttemptKey, JobRegistry
 from mosswalk.jobs.state import Job, task_name
 from mosswalk.store.records import Attempt
 from mosswalk.wire.workers import Order
@@ -28,15 +28,20 @@
     grace_s: float
 
 
-class Stopping:
+class StopRegistry:
     """Attempts to be stopped, besides those of jobs that are over or cancelled."""
 
     def __init__(
-        self, settings: Settings, book: Book, board: Board,
-        push: Callable[[Machine, Order], None], quiet: Callable[[Machine], bool], clock: Clock,
-    ) -> None:  # fmt: skip
-        self._book = book
-        self._board = board
+        self,
+        settings: Settings,
+        inventory: Inventory,
+        registry: JobRegistry,
+        push: Callable[[Machine, Order], None],
+        quiet: Callable[[Machine], bool],
+        clock: Clock,
+    ) -> None:
+        self._inventory = inventory
+        self._registry = registry
         self._push = push
         self._quiet = quiet
         self._clock = clock
@@ -52,12 +57,12 @@
 
     def forget_settled(self) -> None:
         """Drop what the records don't show any more."""
-        for key in [k for k in self._stops if not self._board.is_live(k)]:
+        for key in [k for k in self._stops if not self._registry.is_live(k)]:
             del self._stops[key]
 
     def grace_s(self, machine: Machine, key: AttemptKey) -> float | None:
         """The grace with which an attempt is to be stopped, or None if it is to run."""
-        job = self._board.jobs.get(key[0])
+        job = self._registry.jobs.get(key[0])
         if job is None or not job.open:
             return 0.0
         stop = self._stops.get(key)
@@ -81,7 +86,7 @@
         self._kill(job, attempt, grace_s)
 
     def _kill(self, job: Job, attempt: Attempt, grace_s: float) -> None:
-        machine = self._book.machines.get(attempt.machine)
+        machine = self._inventory.machines.get(attempt.machine)
         if machine is None or machine.tenure != attempt.tenure or machine.releasing:
             return
         name = task_name(job.id, attempt.task)
@@ -97,7 +102,7 @@
 
     def gangs_to_save(self) -> Iterator[Job]:
         """Gangs that are to save since one of their machines is about to be taken."""
-        for job in self._board.gangs.values():
+        for job in self._registry.gangs.values():
             if job.startable and job.spec.checkpoint_s > 0 and self._can_save(job):
                 yield job
 
@@ -108,7 +113,7 @@
         for attempt in job.live():
             if (job.id, attempt.task, attempt.number) in self._stops:
                 return False
-            machine = self._book.machines.get(attempt.machine)
+            machine = self._inventory.machines.get(attempt.machine)
             if machine is None or machine.deaf_since_us is not None or self._quiet(machine):
                 return False
             if machine.notice_until_us is not None:
--- a/mosswalk/fleet/upkeep.py
+++ b/mosswalk/fleet/upkeep.py
@@ -7,7 +7,7 @@
 from msgspec import Raw, structs
 
 from mosswalk.config import Settings
-from mosswalk.jobs.board import Board
+from mosswalk.jobs.registry import JobRegistry
 from mosswalk.leadership.actor import Leadership
 from mosswalk.store import records
 from mosswalk.store.client import ConflictError, RefusedError, UnknownOutcomeError
@@ -27,12 +27,16 @@
     """Every write is guarded by the term, and by what it is about."""
 
     def __init__(
-        self, settings: Settings, mirror: Mirror, board: Board, writer: GroupWriter,
+        self,
+        settings: Settings,
+        mirror: Mirror,
+        registry: JobRegistry,
+        writer: GroupWriter,
         leadership: Leadership,
-    ) -> None:  # fmt: skip
+    ) -> None:
         self._ops = settings.params.state.txn_ops
         self._mirror = mirror
-        self._board = board
+        self._registry = registry
         self._writer = writer
         self._leadership = leadership
 
@@ -57,7 +61,7 @@
 
     async def clear_orphans(self) -> None:
         """Remove chunks of jobs that are over; their removal is not part of the job's end."""
-        orphans = self._board.orphans()
+        orphans = self._registry.orphans()
         for start in range(0, len(orphans), self._ops):
             some = orphans[start : start + self._ops]
             # When all keys are read anew, a new job's chunks may be seen before its header: only
--- a/mosswalk/fleet/withdrawing.py
+++ b/mosswalk/fleet/withdrawing.py
@@ -5,10 +5,10 @@
 from collections.abc import Iterator
 
 from mosswalk.actors import SECOND_US, Clock
-from mosswalk.fleet.book import Book, Machine
-from mosswalk.fleet.pushes import Pushes
-from mosswalk.fleet.suspicion import Patience
-from mosswalk.jobs.board import AttemptKey, Board
+from mosswalk.fleet.command_sender import CommandSender
+from mosswalk.fleet.inventory import Inventory, Machine
+from mosswalk.fleet.silence import SilenceLimits
+from mosswalk.jobs.registry import AttemptKey, JobRegistry
 from mosswalk.jobs.state import Job, task_name
 from mosswalk.leadership.actor import Leadership
 from mosswalk.wire.workers import Order
@@ -17,30 +17,35 @@
 _HEAR_US = 4 * SECOND_US
 
 
-class Withdrawing:
+class WithdrawnTasks:
     """What the leader does about withdrawn jobs, besides the kills in its answers to reports."""
 
     def __init__(
-        self, book: Book, board: Board, leadership: Leadership, pushes: Pushes,
-        patience: Patience, clock: Clock,
-    ) -> None:  # fmt: skip
-        self._book = book
-        self._board = board
+        self,
+        inventory: Inventory,
+        registry: JobRegistry,
+        leadership: Leadership,
+        pushes: CommandSender,
+        silence_limits: SilenceLimits,
+        clock: Clock,
+    ) -> None:
+        self._inventory = inventory
+        self._registry = registry
         self._leadership = leadership
-        self._pushes = pushes
-        self._patience = patience
+        self._command_sender = pushes
+        self._patience = silence_limits
         self._clock = clock
 
     def end(self, job: Job) -> None:
         """A job is withdrawn: end its tasks without waiting for the machines' next reports."""
         for attempt in job.live():
-            machine = self._book.machines.get(attempt.machine)
+            machine = self._inventory.machines.get(attempt.machine)
             if machine is None or machine.tenure != attempt.tenure or machine.releasing:
                 continue
             name = task_name(job.id, attempt.task)
             reported = machine.tasks.get((name, attempt.number))
             if reported is None or reported.phase != "exited":
-                self._pushes.push(machine, Order("kill", name, attempt.number, 0.0))
+                self._command_sender.push(machine, Order("kill", name, attempt.number, 0.0))
 
     def overdue(self, since_us: int) -> Iterator[tuple[Machine, str]]:
         """Machines to release since withdrawn tasks may still be there, and why.
@@ -51,15 +56,15 @@
         then if it runs at all; one that hangs keeps its tasks. ``cancel_s`` leaves time for the
         cloud to be down.
         """
-        if not self._board.withdrawn or self._clock.now_us() - since_us < _HEAR_US:
+        if not self._registry.withdrawn or self._clock.now_us() - since_us < _HEAR_US:
             return
         limit_us = self._patience.silent_us + self._patience.lease_us
-        for job in list(self._board.withdrawn.values()):
+        for job in list(self._registry.withdrawn.values()):
             age_us = self._clock.wall_us() - job.record.withdrawn_us
             if job.record.withdrawn_us == 0 or age_us < limit_us:
                 continue
             for attempt in job.live():
-                machine = self._book.machines.get(attempt.machine)
+                machine = self._inventory.machines.get(attempt.machine)
                 key = (job.id, attempt.task, attempt.number)
                 if machine is not None and not self._gone(machine, key):
                     what = f"{task_name(job.id, attempt.task)} was withdrawn"
--- a/mosswalk/jobs/board.py
+++ b/mosswalk/jobs/registry.py
@@ -26,7 +26,7 @@
     key: str
 
 
-class Board:
+class JobRegistry:
     """Jobs by id, and live attempts by machine."""
 
     def __init__(self, mirror: Mirror) -> None:
--- a/mosswalk/jobs/state.py
+++ b/mosswalk/jobs/state.py
@@ -16,7 +16,7 @@
 from mosswalk.store import records
 from mosswalk.store.records import Attempt, FinalRecord, GangPhase, JobRecord, TaskChunk
 from mosswalk.store.writer import Change
-from mosswalk.wire.peers import Fate
+from mosswalk.wire.peers import OutcomeKind
 from mosswalk.wire.users import ARRAY, GANG, JobSpec
 
 PRIORITIES = ("prod", "high", "standard", "idle")
@@ -201,7 +201,7 @@
         header = records.header_bytes(self.record.spec) if chunk == 0 else 0
         return rows + len(tasks.done) + header <= self._value_bytes
 
-    def settle(self, index: int, number: int, fate: Fate) -> bool:
+    def settle(self, index: int, number: int, kind: OutcomeKind) -> bool:
         """Take an attempt out; whether it was there and could be."""
         chunk = self.job.chunk_of(index)
         tasks = self._tasks(chunk)
@@ -210,9 +210,9 @@
             return False
         done = tasks.done
         if self.job.is_gang:
-            self._settle_gang(fate)
+            self._settle_gang(kind)
         # A completed replica of a service has no business ending: it is started again.
-        elif fate == "done" and self.record.spec.kind == ARRAY:
+        elif kind == "done" and self.record.spec.kind == ARRAY:
             mask = tasks.done_mask()
             bit = 1 << (index - chunk * self.record.chunk)
             if not mask & bit:
@@ -224,11 +224,11 @@
         self.settled.append(gone)
         return True
 
-    def _settle_gang(self, fate: Fate) -> None:
+    def _settle_gang(self, kind: OutcomeKind) -> None:
         """One task of a gang is gone: either all are done, or the attempt is over for all."""
         if self.record.completed():
             return
-        if fate == "done":
+        if kind == "done":
             self.record = structs.replace(self.record, done_count=self.record.spec.tasks)
         self.record = structs.replace(self.record, gang="ending")
 
--- a/mosswalk/leadership/actor.py
+++ b/mosswalk/leadership/actor.py
@@ -39,9 +39,13 @@
     """This controller's place among the others."""
 
     def __init__(
-        self, settings: Settings, client: StateClient, mirror: Mirror, clock: Clock,
+        self,
+        settings: Settings,
+        client: StateClient,
+        mirror: Mirror,
+        clock: Clock,
         rng: random.Random,
-    ) -> None:  # fmt: skip
+    ) -> None:
         self._client = client
         self._mirror = mirror
         self._clock = clock
@@ -172,8 +176,10 @@
         if self.term is not None:
             log.info(
                 "term %d: leader %s, owners %s",
-                self.term.term, self.term.leader, sorted(self.term.owners.items()),
-            )  # fmt: skip
+                self.term.term,
+                self.term.leader,
+                sorted(self.term.owners.items()),
+            )
         for action in self.on_term:
             action()
         self._wake.set()
@@ -329,9 +335,14 @@
         if self._lease is None:
             return
         term = next_term(
-            self.term, self.node, self._up(), self._teams, self._outbid, self._unreachable,
+            self.term,
+            self.node,
+            self._up(),
+            self._teams,
+            self._outbid,
+            self._unreachable,
             records.OUR_VERSION if upgrade else records.FIRST_VERSION,
-        )  # fmt: skip
+        )
         guards: tuple[wire.Guard, ...] = (
             wire.Guard(records.LEADER_KEY, self._lead_version),
             wire.Guard(records.TERM_KEY, self.term_version),
--- a/mosswalk/leadership/terms.py
+++ b/mosswalk/leadership/terms.py
@@ -25,7 +25,7 @@
     """Which controller owns which team.
 
     Teams stay where they are as far as the spread allows; the leader, which has other work,
-    takes the smaller share. A lone team stays with the leader, next to the machine book.
+    takes the smaller share. A lone team stays with the leader, next to the machine inventory.
     """
     names = sorted(set(teams))
     nodes = sorted({*alive, leader}, key=lambda node: (node == leader, node))
--- a/mosswalk/metrics.py
+++ b/mosswalk/metrics.py
@@ -17,19 +17,19 @@
 
     def _figures(self) -> Iterable[tuple[str, str, float]]:
         c = self._controller
-        machines = c.steward.book.machines.values()
+        machines = c.manager.inventory.machines.values()
         yield "leads", "1 if this controller leads", float(c.leadership.leads())
         yield "term", "The current term", float(c.leadership.epoch())
-        yield "jobs_open", "Jobs that are not over", float(len(c.board.jobs))
+        yield "jobs_open", "Jobs that are not over", float(len(c.registry.jobs))
         yield (
             "attempts_live",
             "Attempts that may be running",
-            float(sum(j.record.live_count for j in c.board.jobs.values())),
+            float(sum(j.record.live_count for j in c.registry.jobs.values())),
         )
         yield (
             "tasks_pending",
             "Tasks waiting for a place",
-            float(sum(j.pending_count() for j in c.board.jobs.values() if j.open)),
+            float(sum(j.pending_count() for j in c.registry.jobs.values() if j.open)),
         )
         yield (
             "machines_up",
--- a/mosswalk/peers/__init__.py
+++ b/mosswalk/peers/__init__.py
@@ -16,8 +16,8 @@
     Offer,
     OfferAnswer,
     Outcomes,
+    PeerStatus,
     PollAnswer,
-    Sight,
     Withdrawals,
 )
 
@@ -43,9 +43,10 @@
             raise PeerError(f"unknown controller {node}")
         try:
             async with self._session.post(
-                f"http://{address}{path}", data=msgspec.msgpack.encode(message),
+                f"http://{address}{path}",
+                data=msgspec.msgpack.encode(message),
                 timeout=aiohttp.ClientTimeout(total=timeout_s, sock_connect=1.0),
-            ) as response:  # fmt: skip
+            ) as response:
                 body = await response.read()
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             raise PeerError(str(error) or type(error).__name__) from None
@@ -67,9 +68,9 @@
         """Offer room to the owner of some teams."""
         return await self._ask(node, "/offer", message, 5.0, OfferAnswer)
 
-    async def sight(self, node: str) -> Sight:
+    async def peer_status(self, node: str) -> PeerStatus:
         """What another controller sees of the state service and of the workers."""
-        return await self._ask(node, "/sight", None, 1.0, Sight)
+        return await self._ask(node, "/sight", None, 1.0, PeerStatus)
 
     async def poll(self, node: str, job_id: str) -> PollAnswer:
         """Have another controller ask the state service about a job."""
@@ -87,7 +88,7 @@
 def peer_app(
     on_offer: Callable[[Offer], Awaitable[OfferAnswer]],
     on_outcomes: Callable[[Outcomes], None],
-    sees: Callable[[], Sight],
+    sees: Callable[[], PeerStatus],
     on_poll: Callable[[str], Awaitable[PollAnswer]],
     on_withdrawn: Callable[[Withdrawals], None],
 ) -> web.Application:
@@ -97,8 +98,9 @@
         try:
             return msgspec.msgpack.decode(await request.read(), type=kind)
         except msgspec.DecodeError as error:
-            log.error("controller at %s: malformed %s dropped: %s",
-                      request.remote, kind.__name__, error)  # fmt: skip
+            log.error(
+                "controller at %s: malformed %s dropped: %s", request.remote, kind.__name__, error
+            )
             raise web.HTTPBadRequest from None
 
     async def offer(request: web.Request) -> web.Response:
--- a/mosswalk/peers/health.py
+++ b/mosswalk/peers/health.py
@@ -15,7 +15,7 @@
 from typing import Protocol
 
 from mosswalk.actors import Clock
-from mosswalk.wire.peers import Sight
+from mosswalk.wire.peers import PeerStatus
 
 log = logging.getLogger(__name__)
 
@@ -25,10 +25,10 @@
 _ASK_S = 1.0
 
 
-class SightLink(Protocol):
+class PeerStatusLink(Protocol):
     """How others are asked."""
 
-    async def sight(self, node: str) -> Sight:
+    async def peer_status(self, node: str) -> PeerStatus:
         """What another controller sees of the state service and of the workers."""
 
 
@@ -36,11 +36,15 @@
     """Watches this controller's sight of the state service, and asks others when it is lost."""
 
     def __init__(
-        self, others: Iterable[str], peers: SightLink, confirmed_us: Callable[[], int],
-        clock: Clock, leads: Callable[[], bool] = lambda: False,
+        self,
+        others: Iterable[str],
+        peers: PeerStatusLink,
+        confirmed_us: Callable[[], int],
+        clock: Clock,
+        leads: Callable[[], bool] = lambda: False,
         on_unreachable: Callable[[frozenset[str]], None] = lambda _: None,
         on_visitors: Callable[[int], None] = lambda _: None,
-    ) -> None:  # fmt: skip
+    ) -> None:
         self._others = tuple(others)
         self._peers = peers
         self._confirmed_us = confirmed_us
@@ -74,9 +78,9 @@
         """Whether the state service serves neither this controller nor any that it can reach."""
         return self.lost is not None and self.served is None
 
-    async def _ask(self, node: str) -> Sight | None:
+    async def _ask(self, node: str) -> PeerStatus | None:
         try:
-            return await self._peers.sight(node)
+            return await self._peers.peer_status(node)
         except Exception as error:
             log.debug("controller %s not asked: %s", node, error)
             return None
@@ -98,7 +102,7 @@
             self._failed[node] = self._failed[node] + 1 if answer is None else 0
         self._on_unreachable(frozenset(n for n, times in self._failed.items() if times >= 2))
         if fresh:
-            self._on_visitors(sum(sight.visitors for sight in answers if sight is not None))
+            self._on_visitors(sum(peer.stray_workers for peer in answers if peer is not None))
             return
         self.served = next(
             (n for n, a in zip(self._others, answers, strict=True) if a is not None and a.fresh),
--- a/mosswalk/peers/news.py
+++ b/mosswalk/peers/withdrawal_broadcast.py
@@ -26,20 +26,24 @@
 _MOST_WAITING = 1000
 
 
-class NewsLink(Protocol):
+class WithdrawalLink(Protocol):
     """How the others are told."""
 
     async def withdrawn(self, node: str, message: Withdrawals) -> None:
         """Tell of withdrawals; an error if that is not acknowledged."""
 
 
-class WithdrawalNews:
+class WithdrawalBroadcast:
     """What each of the others has not acknowledged yet."""
 
     def __init__(
-        self, others: Iterable[str], peers: NewsLink, keep_us: int, clock: Clock,
+        self,
+        others: Iterable[str],
+        peers: WithdrawalLink,
+        keep_us: int,
+        clock: Clock,
         rng: random.Random,
-    ) -> None:  # fmt: skip
+    ) -> None:
         self._peers = peers
         # After this long it is of no use to anybody.
         self._keep_us = keep_us
--- a/mosswalk/placement/rooms.py
+++ b/mosswalk/placement/capacity.py
@@ -75,10 +75,18 @@
 def room_of(offer: SlotOffer) -> Room:
     """The room of an offer."""
     return Room(
-        offer.machine, offer.type, offer.zone, offer.spot, offer.tenure,
-        offer.cpus, offer.gpus, offer.memory, frozenset(offer.images),
-        offer.core_price, offer.fetch_s_per_gb,
-    )  # fmt: skip
+        offer.machine,
+        offer.type,
+        offer.zone,
+        offer.spot,
+        offer.tenure,
+        offer.cpus,
+        offer.gpus,
+        offer.memory,
+        frozenset(offer.images),
+        offer.core_price,
+        offer.fetch_s_per_gb,
+    )
 
 
 @dataclass(slots=True)
--- a/mosswalk/placement/gangs.py
+++ b/mosswalk/placement/gangs.py
@@ -10,7 +10,7 @@
 from dataclasses import replace
 
 from mosswalk.jobs.state import Job
-from mosswalk.placement.rooms import Room, ZoneRule, best_room, new_zone_rule
+from mosswalk.placement.capacity import Room, ZoneRule, best_room, new_zone_rule
 
 
 def _fill(job: Job, candidates: list[Room], rule: ZoneRule) -> list[Room] | None:
--- a/mosswalk/placement/owner.py
+++ b/mosswalk/placement/owner.py
@@ -14,12 +14,12 @@
 
 from mosswalk.actors import SECOND_US, Clock
 from mosswalk.config import Settings, Team
-from mosswalk.jobs.board import Board
 from mosswalk.jobs.layout import is_too_coarse, split
+from mosswalk.jobs.registry import JobRegistry
 from mosswalk.jobs.state import Draft, Job, Place, Usage, record_limits, split_task_name
 from mosswalk.leadership.actor import Leadership
+from mosswalk.placement.capacity import Room, room_of
 from mosswalk.placement.queues import TeamQueue, Urgency
-from mosswalk.placement.rooms import room_of
 from mosswalk.store import records
 from mosswalk.store.client import ConflictError, RefusedError, UnknownOutcomeError
 from mosswalk.store.mirror import Mirror
@@ -56,11 +56,16 @@
     """Places for the teams this controller owns in the current term."""
 
     def __init__(
-        self, settings: Settings, mirror: Mirror, board: Board, writer: GroupWriter,
-        leadership: Leadership, clock: Clock,
-    ) -> None:  # fmt: skip
+        self,
+        settings: Settings,
+        mirror: Mirror,
+        registry: JobRegistry,
+        writer: GroupWriter,
+        leadership: Leadership,
+        clock: Clock,
+    ) -> None:
         self._mirror = mirror
-        self._board = board
+        self._registry = registry
         self._writer = writer
         self._leadership = leadership
         self._clock = clock
@@ -127,7 +132,7 @@
         drafts: dict[str, Draft] = {}
         self._give_up_half_placed(drafts)
         self._apply_outcomes(drafts)
-        for job in self._board.withdrawn.values():
+        for job in self._registry.withdrawn.values():
             # One whose last attempt went while it was being withdrawn.
             if (
                 job.record.live_count == 0
@@ -137,7 +142,7 @@
                 drafts[job.id] = Draft(job, self._limits)
         unwritten: dict[str, list[Place]] = {}
         placed_for: list[tuple[asyncio.Future[OfferAnswer], int]] = []
-        usage = self._board.usage()
+        usage = self._registry.usage()
         zones: dict[str, str] = {}
         for offer, _ in offers:
             zones.update(offer.zones)
@@ -151,9 +156,14 @@
                     if self._leadership.owns(slots.team) and slots.team in self._teams:
                         rooms = [room_of(slot) for slot in slots.slots]
                         placed += self._place_team(
-                            self._teams[slots.team], rooms, usage, zones, drafts, unwritten,
+                            self._teams[slots.team],
+                            rooms,
+                            usage,
+                            zones,
+                            drafts,
+                            unwritten,
                             term.term,
-                        )  # fmt: skip
+                        )
             placed_for.append((future, placed))
         guards = {records.TERM_KEY: self._leadership.term_version}
         changes = [d.change(guards) for d in drafts.values() if d.changed()]
@@ -170,8 +180,11 @@
             for attempt in draft.placed:
                 log.info(
                     "placed %s/%d attempt %d on %s",
-                    draft.job.id, attempt.task, attempt.number, attempt.machine,
-                )  # fmt: skip
+                    draft.job.id,
+                    attempt.task,
+                    attempt.number,
+                    attempt.machine,
+                )
 
     async def _split_records(self) -> None:
         """Split what the state service would not take again; nothing else is written before."""
@@ -182,12 +195,12 @@
         if now_us - self._searched_us >= _SEARCH_US:
             self._searched_us = now_us
             self._too_coarse = {
-                job.id for job in self._board.jobs.values() if is_too_coarse(job, self._limits)
+                job.id for job in self._registry.jobs.values() if is_too_coarse(job, self._limits)
             }
         jobs = [
             job
             for job_id in sorted(self._too_coarse)
-            if (job := self._board.jobs.get(job_id)) is not None
+            if (job := self._registry.jobs.get(job_id)) is not None
             and self._leadership.owns(job.spec.team)
             and is_too_coarse(job, self._limits)
         ]
@@ -217,7 +230,7 @@
 
         A round waits for all its commits, so whoever was writing the rest has failed or is gone.
         """
-        for job in self._board.gangs.values():
+        for job in self._registry.gangs.values():
             if job.record.gang == "placing" and self._leadership.owns(job.spec.team):
                 log.info(
                     "%s: attempt given up, only %d tasks placed", job.id, job.record.live_count
@@ -229,7 +242,7 @@
         """Write what of a gang's attempt did not fit its first commit."""
         revision: int | None = None
         while left:
-            job = self._board.jobs.get(job_id)
+            job = self._registry.jobs.get(job_id)
             if job is None or job.record.gang != "placing" or not job.open:
                 break
             draft = Draft(job, self._limits)
@@ -249,7 +262,7 @@
 
         Not when the job ends by them, or when a task has to be placed again.
         """
-        if any(outcome.fate != "done" for _, _, outcome in outcomes):
+        if any(outcome.kind != "done" for _, _, outcome in outcomes):
             return False
         if job.is_gang and job.record.phase == "open":
             # Its tasks complete together, so the others' reports are on their way.
@@ -269,7 +282,7 @@
         by_job: dict[str, list[tuple[int, int, Outcome]]] = {}
         for (task, number), outcome in outcomes.items():
             split = split_task_name(task)
-            job = self._board.jobs.get(split[0]) if split is not None else None
+            job = self._registry.jobs.get(split[0]) if split is not None else None
             if split is None or job is None or not self._leadership.owns(job.spec.team):
                 continue
             attempt = job.find(split[1], number)
@@ -282,9 +295,9 @@
         hurried = self._hurried(by_job)
         # Prod first, the others as they came: by rank, idle jobs' ends were written last of all
         # for as long as a burst of standard work lasted.
-        prod_first = sorted(by_job.items(), key=lambda item: self._board.jobs[item[0]].rank > 0)
+        prod_first = sorted(by_job.items(), key=lambda item: self._registry.jobs[item[0]].rank > 0)
         for job_id, found in prod_first:
-            job = self._board.jobs[job_id]
+            job = self._registry.jobs[job_id]
             full = hurried and len(drafts) >= self._most_settled
             if full or self._may_wait(job, found) or self._is_too_coarse(job):
                 self._outcomes.update({(o.task, number): o for _, number, o in found})
@@ -294,52 +307,58 @@
             self._gathered.pop(job_id, None)
             draft = drafts.setdefault(job_id, Draft(job, self._limits))
             for index, number, outcome in found:
-                if not draft.settle(index, number, outcome.fate):
+                if not draft.settle(index, number, outcome.kind):
                     # Too many chunks for one commit: the leader will tell us again.
                     continue
                 log.info(
-                    "%s attempt %d on %s: %s", outcome.task, number, outcome.machine, outcome.fate
+                    "%s attempt %d on %s: %s", outcome.task, number, outcome.machine, outcome.kind
                 )
                 self._learn(job_id, outcome)
 
     def _hurried(self, ended: Iterable[str]) -> bool:
         """Whether replicas of ours have just ended or wait for a place."""
-        jobs = self._board.jobs
+        jobs = self._registry.jobs
         return any(jobs[job_id].rank == 0 for job_id in ended) or any(
             job.rank == 0
-            for team, unplaced in self._board.unplaced.items()
+            for team, unplaced in self._registry.unplaced.items()
             if self._leadership.owns(team)
             for job in unplaced.values()
         )
 
     def _learn(self, job_id: str, outcome: Outcome) -> None:
-        if outcome.fate == "done":
+        if outcome.kind == "done":
             self._holds.pop(job_id, None)
             return
-        if outcome.fate == "error":
+        if outcome.kind == "error":
             avoid = self._avoid.setdefault(job_id, set())
             if len(avoid) >= _MOST_AVOIDED:
                 avoid.clear()
             avoid.add(outcome.machine)
-        if outcome.fate in ("error", "refused"):
+        if outcome.kind in ("error", "refused"):
             hold = self._holds.setdefault(job_id, _Hold(0, 0))
             hold.failures += 1
             # The first failures are mostly the machine's: try elsewhere at once. A job that
             # fails everywhere must not take the cluster's time.
-            if hold.failures > 3 or outcome.fate == "refused":
+            if hold.failures > 3 or outcome.kind == "refused":
                 wait_us = min(_MOST_BACKOFF_US, _BACKOFF_US << min(5, max(0, hold.failures - 4)))
                 hold.until_us = self._clock.now_us() + wait_us
 
     def _place_team(
-        self, team: Team, rooms: list, usage: dict[str, Usage], zones: dict[str, str],  # type: ignore[type-arg]
-        drafts: dict[str, Draft], unwritten: dict[str, list[Place]], term: int,
-    ) -> int:  # fmt: skip
+        self,
+        team: Team,
+        rooms: list[Room],
+        usage: dict[str, Usage],
+        zones: dict[str, str],
+        drafts: dict[str, Draft],
+        unwritten: dict[str, list[Place]],
+        term: int,
+    ) -> int:
         now_us = self._clock.now_us()
         held = {job_id: h for job_id, h in self._holds.items() if h.until_us > now_us}
         own = usage.setdefault(team.name, Usage())
         jobs = [
             job
-            for job in self._board.unplaced.get(team.name, {}).values()
+            for job in self._registry.unplaced.get(team.name, {}).values()
             if job.id not in drafts and not self._is_too_coarse(job)
         ]
         queue = TeamQueue(
@@ -387,5 +406,5 @@
 
     def _forget(self) -> None:
         for table in (self._avoid, self._holds, self._gathered):
-            for job_id in [j for j in table if j not in self._board.jobs]:
+            for job_id in [j for j in table if j not in self._registry.jobs]:
                 del table[job_id]
--- a/mosswalk/placement/preemption.py
+++ b/mosswalk/placement/preemption.py
@@ -7,8 +7,8 @@
 
 from mosswalk.config import Team
 from mosswalk.jobs.state import Job, Usage, milli_room
-from mosswalk.placement.queues import within
-from mosswalk.placement.rooms import Room, ZoneRule, new_zone_rule, zone_rule
+from mosswalk.placement.capacity import Room, ZoneRule, new_zone_rule, zone_rule
+from mosswalk.placement.queues import fits_quota
 from mosswalk.store.records import Attempt
 from mosswalk.wire.users import JobSpec
 
@@ -64,9 +64,12 @@
     """Victims chosen so far, and what the machines and the teams would have without them."""
 
     def __init__(
-        self, rooms: Iterable[Room], running: Mapping[str, list[Victim]],
-        teams: Mapping[str, Team], usage: Mapping[str, Usage],
-    ) -> None:  # fmt: skip
+        self,
+        rooms: Iterable[Room],
+        running: Mapping[str, list[Victim]],
+        teams: Mapping[str, Team],
+        usage: Mapping[str, Usage],
+    ) -> None:
         self._teams = teams
         self._spare = {room.machine: replace(room) for room in rooms}
         # Least urgent first; of those, the ones that can save and the youngest.
@@ -175,9 +178,9 @@
         for _ in range(count):
             if len(choice.chosen) >= most or choice.looks <= 0:
                 break
-            if not within(team, own, job, limit=True):
+            if not fits_quota(team, own, job, limit=True):
                 break
-            if choice.make_room(job, rule, within(team, own, job, limit=False)) is None:
+            if choice.make_room(job, rule, fits_quota(team, own, job, limit=False)) is None:
                 break
     return choice.chosen
 
@@ -185,9 +188,9 @@
 def _make_room_for_gang(choice: _Choice, job: Job, team: Team) -> None:
     """Choose whom to stop for a whole gang; nobody if that would not make room for all of it."""
     own = choice.usage(job.spec.team)
-    if not within(team, own, job, limit=True):
+    if not fits_quota(team, own, job, limit=True):
         return
-    guaranteed = within(team, own, job, limit=False)
+    guaranteed = fits_quota(team, own, job, limit=False)
     rule = new_zone_rule(job.spec)
     made: list[_Made] = []
     while len(made) < job.spec.tasks:
@@ -200,9 +203,13 @@
 
 
 def _fewest(
-    job: Job, room: Room, victims: list[Victim], guaranteed: bool,
-    teams: Mapping[str, Team], usage: Mapping[str, Usage],
-) -> list[Victim] | None:  # fmt: skip
+    job: Job,
+    room: Room,
+    victims: list[Victim],
+    guaranteed: bool,
+    teams: Mapping[str, Team],
+    usage: Mapping[str, Usage],
+) -> list[Victim] | None:
     """Victims on one machine, in their order, that make room for a task; None if they can't."""
     cpus, gpus, memory = room.cpus, room.gpus, room.memory
     picked: list[Victim] = []
--- a/mosswalk/placement/queues.py
+++ b/mosswalk/placement/queues.py
@@ -8,8 +8,8 @@
 from mosswalk.actors import to_us
 from mosswalk.config import Objective, Team
 from mosswalk.jobs.state import Job, Usage, milli_room
+from mosswalk.placement.capacity import Room, ZoneRule, best_room, zone_rule
 from mosswalk.placement.gangs import rooms_for_gang
-from mosswalk.placement.rooms import Room, ZoneRule, best_room, zone_rule
 
 _UNTIMED_US = 600_000_000
 _MOMENT_US = 200_000
@@ -104,7 +104,7 @@
         return (rank, late, target_us, submitted_us, job.id)
 
 
-def within(team: Team, usage: Usage, job: Job, *, limit: bool) -> bool:
+def fits_quota(team: Team, usage: Usage, job: Job, *, limit: bool) -> bool:
     """Whether one more task, or a whole gang, keeps the team within its limit or guarantee."""
     cpus, gpus = (team.cpus_max, team.gpus_max) if limit else (team.cpus, team.gpus)
     cpus_after = usage.cpus + job.cpus * job.together
@@ -158,10 +158,16 @@
     """A team's jobs in order; gives one placing at a time until nothing more fits."""
 
     def __init__(
-        self, team: Team, jobs: Iterable[Job], usage: Usage, zone_of: dict[str, str],
-        avoid: Mapping[str, set[str]], held: Mapping[str, object],
-        urgency: Urgency, wall_us: int,
-    ) -> None:  # fmt: skip
+        self,
+        team: Team,
+        jobs: Iterable[Job],
+        usage: Usage,
+        zone_of: dict[str, str],
+        avoid: Mapping[str, set[str]],
+        held: Mapping[str, object],
+        urgency: Urgency,
+        wall_us: int,
+    ) -> None:
         self.team = team
         self.usage = Usage(usage.cpus, usage.gpus)
         self._zone_of = zone_of
@@ -221,7 +227,7 @@
     def place_one(self, rooms: list[Room]) -> Placing | GangPlacing | None:
         """Place the next task or gang that fits, taking its room; None when none does."""
         while (job := self.head()) is not None:
-            if not within(self.team, self.usage, job, limit=True):
+            if not fits_quota(self.team, self.usage, job, limit=True):
                 # Held back by the limit, not by room: no reason to rent or preempt.
                 if self.is_overdue(job):
                     # Smaller tasks would take each bit of the limit that comes free.
@@ -274,7 +280,7 @@
     assert head is not None
     if queue.is_overdue(head):
         return (-1, head.rank, queue.usage.cpus / share, queue.team.name)
-    guaranteed = within(queue.team, queue.usage, head, limit=False)
+    guaranteed = fits_quota(queue.team, queue.usage, head, limit=False)
     return (
         0 if guaranteed or head.rank == 0 else 1,
         head.rank,
--- a/mosswalk/service.py
+++ b/mosswalk/service.py
@@ -11,26 +11,26 @@
 import aiohttp
 from aiohttp import web
 
-from mosswalk.actors import Clock, SystemClock, keep, to_us
+from mosswalk.actors import Clock, SystemClock, run_forever, to_us
 from mosswalk.api import users_app
-from mosswalk.api.jobs import JobDesk
+from mosswalk.api.jobs import JobService
 from mosswalk.cloud.actor import CloudCaller
 from mosswalk.cloud.client import CloudClient
 from mosswalk.config import Settings, split_address
 from mosswalk.config.sockets import sockets
-from mosswalk.fleet.steward import Steward
-from mosswalk.jobs.board import Board
+from mosswalk.fleet.manager import FleetManager
+from mosswalk.jobs.registry import JobRegistry
 from mosswalk.leadership.actor import Leadership
 from mosswalk.metrics import Metrics
 from mosswalk.peers import PeerClient, PeerError, peer_app
 from mosswalk.peers.health import Health
-from mosswalk.peers.news import WithdrawalNews
+from mosswalk.peers.withdrawal_broadcast import WithdrawalBroadcast
 from mosswalk.placement.owner import Owner
 from mosswalk.store import records
 from mosswalk.store.client import StateClient
 from mosswalk.store.mirror import Mirror
 from mosswalk.store.writer import GroupWriter
-from mosswalk.wire.peers import PollAnswer, Sight, Withdrawals
+from mosswalk.wire.peers import PeerStatus, PollAnswer, Withdrawals
 
 log = logging.getLogger(__name__)
 
@@ -46,9 +46,13 @@
     """One controller; everything it needs is handed in, so that tests can stand in for it."""
 
     def __init__(
-        self, settings: Settings, session: aiohttp.ClientSession, orders: aiohttp.ClientSession,
-        clock: Clock, rng: random.Random,
-    ) -> None:  # fmt: skip
+        self,
+        settings: Settings,
+        session: aiohttp.ClientSession,
+        orders: aiohttp.ClientSession,
+        clock: Clock,
+        rng: random.Random,
+    ) -> None:
         params = settings.params
         self.settings = settings
         self.client = StateClient(session, settings.outside.state, params.state.rps, clock)
@@ -61,34 +65,57 @@
         self.writer = GroupWriter(
             self.client, clock, rng, _WORK_SHARE * params.state.write_rps, params.state.txn_ops
         )
-        self.board = Board(self.mirror)
+        self.registry = JobRegistry(self.mirror)
         self.leadership = Leadership(settings, self.client, self.mirror, clock, rng)
-        self.owner = Owner(settings, self.mirror, self.board, self.writer, self.leadership, clock)
+        self.owner = Owner(
+            settings, self.mirror, self.registry, self.writer, self.leadership, clock
+        )
         self.peers = PeerClient(session, settings)
-        self.steward = Steward(
-            settings, self.mirror, self.board, self.writer, self.leadership, self.owner,
-            self.peers, orders, clock,
-        )  # fmt: skip
+        self.manager = FleetManager(
+            settings,
+            self.mirror,
+            self.registry,
+            self.writer,
+            self.leadership,
+            self.owner,
+            self.peers,
+            orders,
+            clock,
+        )
         self.cloud = CloudCaller(
-            CloudClient(session, settings.outside.cloud), clock, rng, params.cloud.rps,
-            self.steward.tell, self.leadership.may_start, self.leadership.may_answer,
-        )  # fmt: skip
-        self.steward.cloud = self.cloud
-        self.desk = JobDesk(settings, self.client, self.mirror, self.users_writer, clock, rng)
+            CloudClient(session, settings.outside.cloud),
+            clock,
+            rng,
+            params.cloud.rps,
+            self.manager.tell,
+            self.leadership.may_start,
+            self.leadership.may_answer,
+        )
+        self.manager.cloud = self.cloud
+        self.job_service = JobService(
+            settings, self.client, self.mirror, self.users_writer, clock, rng
+        )
         self.health = Health(
-            [peer.host_name for peer in settings.known], self.peers,
-            lambda: self.mirror.confirmed_us, clock, self.leadership.leads,
-            self.leadership.note_unreachable, self._visitors_elsewhere,
-        )  # fmt: skip
-        self.desk.elsewhere = self._poll_elsewhere
-        self.desk.gangs_allowed = self.leadership.gangs_allowed
-        self.news = WithdrawalNews(
-            [peer.host_name for peer in settings.known], self.peers,
-            to_us(params.workers.cancel_s), clock, rng,
-        )  # fmt: skip
-        self.desk.on_withdrawn = self.news.tell
-        self.steward.left_alone = lambda: self.health.left_alone_by(self.leadership.leader())
-        self.steward.nobody_served = self.health.nobody_served
+            [peer.host_name for peer in settings.known],
+            self.peers,
+            lambda: self.mirror.confirmed_us,
+            clock,
+            self.leadership.leads,
+            self.leadership.note_unreachable,
+            self._visitors_elsewhere,
+        )
+        self.job_service.elsewhere = self._poll_elsewhere
+        self.job_service.gangs_allowed = self.leadership.gangs_allowed
+        self.withdrawal_broadcast = WithdrawalBroadcast(
+            [peer.host_name for peer in settings.known],
+            self.peers,
+            to_us(params.workers.cancel_s),
+            clock,
+            rng,
+        )
+        self.job_service.on_withdrawn = self.withdrawal_broadcast.tell
+        self.manager.left_alone = lambda: self.health.left_alone_by(self.leadership.leader())
+        self.manager.nobody_served = self.health.nobody_served
         # Followers need not hear of each change at once: with many controllers, their watches
         # would take most of the requests that the state service allows.
         self.mirror.in_haste = lambda: self.leadership.leads() or self.leadership.owns_any()
@@ -98,8 +125,8 @@
         """Whether users' requests can be taken here."""
         return self.mirror.loaded and not self.health.alone
 
-    def _sees(self) -> Sight:
-        return Sight(self.health.fresh(), self.steward.visitors.count())
+    def _sees(self) -> PeerStatus:
+        return PeerStatus(self.health.fresh(), self.manager.recent_workers.count())
 
     def withdrawn_elsewhere(self, message: Withdrawals) -> None:
         """Another controller has told users of withdrawals: put them into the mirror.
@@ -112,7 +139,7 @@
         self.mirror.batch_done()
 
     def _visitors_elsewhere(self, count: int) -> None:
-        if self.steward.cut_from_workers(count):
+        if self.manager.cut_from_workers(count):
             self.leadership.hand_over()
 
     async def _poll_elsewhere(self, job_id: str) -> PollAnswer | None:
@@ -127,38 +154,44 @@
 
     def apps(self) -> tuple[web.Application, web.Application]:
         """The applications for users and workers, and for other controllers."""
-        users = users_app(self.desk, self.steward.report, self.healthy, self.metrics.render)
+        users = users_app(self.job_service, self.manager.report, self.healthy, self.metrics.render)
         return users, peer_app(
-            self.owner.offer, self.owner.outcomes, self._sees, self.desk.poll_for_other,
+            self.owner.offer,
+            self.owner.outcomes,
+            self._sees,
+            self.job_service.poll_for_other,
             self.withdrawn_elsewhere,
-        )  # fmt: skip
+        )
 
     def work(self) -> list[Coroutine[Any, Any, None]]:
         """All that runs for ever.
 
         The writers alone are not begun again when they fail: commits under way would be
-        left without a fate, so the process ends.
+        left without a kind, so the process ends.
         """
         kept = (
             self.mirror.run,
             self.leadership.keep_lease,
             self.leadership.run,
             self.owner.run,
-            self.steward.run,
-            self.steward.ticker,
+            self.manager.run,
+            self.manager.ticker,
             self.cloud.run_releases,
             self.health.run,
-            self.news.run,
+            self.withdrawal_broadcast.run,
         )
-        return [self.writer.run(), self.users_writer.run(), *(keep(loop) for loop in kept)]
+        return [self.writer.run(), self.users_writer.run(), *(run_forever(loop) for loop in kept)]
 
 
 async def listen(app: web.Application, address: str) -> web.AppRunner:
     """Serve an application."""
     runner = web.AppRunner(
-        app, access_log=None, keepalive_timeout=_KEEPALIVE_S, handle_signals=False,
+        app,
+        access_log=None,
+        keepalive_timeout=_KEEPALIVE_S,
+        handle_signals=False,
         shutdown_timeout=0.2,
-    )  # fmt: skip
+    )
     await runner.setup()
     host, port = split_address(address)
     await web.TCPSite(runner, host, port, backlog=512, reuse_address=True).start()
--- a/mosswalk/store/client.py
+++ b/mosswalk/store/client.py
@@ -86,9 +86,11 @@
             await asyncio.sleep(to_s(wait_us))
         try:
             async with self._session.request(
-                method, self._base + path, data=body,
+                method,
+                self._base + path,
+                data=body,
                 timeout=aiohttp.ClientTimeout(total=timeout_s, sock_connect=1.0),
-            ) as response:  # fmt: skip
+            ) as response:
                 answer = await response.read()
         except aiohttp.ClientConnectorError as error:
             raise RefusedError(str(error)) from None
--- a/mosswalk/store/mirror.py
+++ b/mosswalk/store/mirror.py
@@ -104,7 +104,7 @@
         """Put in what a commit's or a read's answer told.
 
         The watch may have passed that revision already, and a later deletion with it: then the
-        answer is old news and must not bring the key back.
+        answer is old withdrawal_broadcast and must not bring the key back.
         """
         if version > self.revision:
             self.apply(key, value, version)
--- a/mosswalk/store/writer.py
+++ b/mosswalk/store/writer.py
@@ -33,7 +33,7 @@
 
 _MAX_BYTES = 60 * 1024
 _IN_FLIGHT = 4
-# How often, and how long apart, the guards of a transaction are looked at whose fate is open.
+# How often, and how long apart, the guards of a transaction are looked at whose kind is open.
 _REJECTED_LOOKS = 20
 _REJECTED_PAUSE_S = 1.0
 
@@ -154,7 +154,7 @@
 
         while True:
             if self._broken is not None:
-                # A fate nobody knows: the process must end, and its next run's new term settles
+                # A kind nobody knows: the process must end, and its next run's new term settles
                 # what this one may have written.
                 raise RuntimeError("a commit failed unexpectedly") from self._broken
             if not self._queue:
--- a/mosswalk/wire/peers.py
+++ b/mosswalk/wire/peers.py
@@ -4,9 +4,9 @@
 
 from typing import Literal
 
-from msgspec import Struct
+from msgspec import Struct, field
 
-Fate = Literal["done", "error", "stopped", "refused", "lost"]
+OutcomeKind = Literal["done", "error", "stopped", "refused", "lost"]
 
 
 class SlotOffer(Struct, frozen=True, array_like=True):
@@ -55,7 +55,7 @@
     task: str
     attempt: int
     machine: str
-    fate: Fate
+    kind: OutcomeKind
 
 
 class Outcomes(Struct, frozen=True):
@@ -65,12 +65,12 @@
     outcomes: tuple[Outcome, ...]
 
 
-class Sight(Struct, frozen=True):
+class PeerStatus(Struct, frozen=True):
     """What another controller sees: whether the state service serves it, and who turns to it."""
 
     fresh: bool
     # Machines whose workers came to it of late although it does not lead.
-    visitors: int = 0
+    stray_workers: int = field(name="visitors", default=0)
 
 
 class Withdrawal(Struct, frozen=True):
--- a/mosswalk/wire/users.py
+++ b/mosswalk/wire/users.py
@@ -86,11 +86,15 @@
         _check(0 < len(text) <= MAX_NAME, f"{name}: must have 1 to {MAX_NAME} characters")
     _check(1 <= spec.tasks <= MAX_TASKS, f"pieces: must be 1 to {MAX_TASKS}")
     amounts = (
-        ("cores", spec.cpus), ("cards", spec.gpus), ("ram_gb", spec.memory_gb),
-        ("image_gb", spec.image_gb), ("expect_s", spec.estimate_s),
-        ("savepoint_s", spec.checkpoint_s), ("flush_s", spec.save_s),
+        ("cores", spec.cpus),
+        ("cards", spec.gpus),
+        ("ram_gb", spec.memory_gb),
+        ("image_gb", spec.image_gb),
+        ("expect_s", spec.estimate_s),
+        ("savepoint_s", spec.checkpoint_s),
+        ("flush_s", spec.save_s),
         ("due_s", spec.deadline_s or 0.0),
-    )  # fmt: skip
+    )
     for name, amount in amounts:
         _check(math.isfinite(amount) and 0 <= amount <= MAX_AMOUNT, f"{name}: out of range")
     _check(spec.cpus > 0, "cores: must be above 0")
--- a/mosswalk/wire/workers.py
+++ b/mosswalk/wire/workers.py
@@ -61,4 +61,4 @@
 class Redirect(Struct, frozen=True, omit_defaults=True):
     """The 421 answer: which controller takes reports, if known."""
 
-    steward: str | None = None
+    leader: str | None = field(name="steward", default=None)
--- a/tests/days.py
+++ b/tests/fault_injection.py
@@ -7,8 +7,8 @@
 from dataclasses import dataclass
 from typing import Any
 
-from tests.outside import LEASE_S
-from tests.region import CANCEL_S, Region, need
+from tests.simulated_services import LEASE_S
+from tests.simulation import CANCEL_S, Simulation, need
 from tests.standins import spec
 from tests.virtual import play
 
@@ -20,7 +20,7 @@
 
 
 @dataclass(frozen=True)
-class Trouble:
+class Fault:
     """One trouble: when, what, for how long, and a number to choose whom it meets."""
 
     at_s: float
@@ -29,24 +29,24 @@
     pick: int = 0
 
 
-def _someone(region: Region, pick: int) -> str:
+def _someone(region: Simulation, pick: int) -> str:
     """The leader mostly, else a controller."""
     return (region.leader() if pick % 3 else None) or region.names[pick % len(region.names)]
 
 
-async def _state_outage(region: Region, trouble: Trouble) -> None:
+async def _state_outage(region: Simulation, trouble: Fault) -> None:
     region.state.begin_outage()
     await asyncio.sleep(trouble.for_s)
     region.state.end_outage()
 
 
-async def _state_slow(region: Region, trouble: Trouble) -> None:
+async def _state_slow(region: Simulation, trouble: Fault) -> None:
     region.network.slow["state"] = 0.4
     await asyncio.sleep(trouble.for_s)
     region.network.slow.pop("state", None)
 
 
-async def _refused(region: Region, trouble: Trouble) -> None:
+async def _refused(region: Simulation, trouble: Fault) -> None:
     """The state service refuses one controller alone."""
     name = _someone(region, trouble.pick)
     region.state.refused.add(name)
@@ -54,7 +54,7 @@
     region.state.refused.discard(name)
 
 
-async def _apart(region: Region, trouble: Trouble) -> None:
+async def _apart(region: Simulation, trouble: Fault) -> None:
     """A controller loses the state service and the others, not its workers or users."""
     name = _someone(region, trouble.pick)
     pairs = {(name, o) for o in region.names if o != name}
@@ -77,11 +77,11 @@
     over.set()
 
 
-async def _hold(region: Region, trouble: Trouble, pairs: set[tuple[str, str]]) -> None:
+async def _hold(region: Simulation, trouble: Fault, pairs: set[tuple[str, str]]) -> None:
     await _block(region.network.holds, pairs, trouble.for_s)
 
 
-async def _zone_cut(region: Region, trouble: Trouble) -> None:
+async def _zone_cut(region: Simulation, trouble: Fault) -> None:
     """A zone with its workers and its controllers; all between it and the rest is held back."""
     zone = "ab"[trouble.pick % 2]
     inside = {n for n in region.names if region.settings(n).zone == zone}
@@ -91,13 +91,13 @@
     await _hold(region, trouble, pairs | {(o, i) for i, o in pairs})
 
 
-async def _machines_cut(region: Region, trouble: Trouble) -> None:
+async def _machines_cut(region: Simulation, trouble: Fault) -> None:
     names = sorted(region.workers)[trouble.pick % 2 :: 2]
     pairs = {(n, c) for n in names for c in region.names}
     await _hold(region, trouble, pairs | {(c, n) for n, c in pairs})
 
 
-async def _leader_without_workers(region: Region, trouble: Trouble) -> None:
+async def _leader_without_workers(region: Simulation, trouble: Fault) -> None:
     name = _someone(region, trouble.pick)
     pairs = {(name, w) for w in region.workers} | {(w, name) for w in region.workers}
     region.network.refuses |= pairs
@@ -105,7 +105,7 @@
     region.network.refuses -= pairs
 
 
-async def _crash(region: Region, trouble: Trouble) -> None:
+async def _crash(region: Simulation, trouble: Fault) -> None:
     name = _someone(region, trouble.pick)
     if name in region.controllers:
         region.kill_controller(name)
@@ -113,7 +113,7 @@
         region.start_controller(name)
 
 
-async def _crash_all(region: Region, trouble: Trouble) -> None:
+async def _crash_all(region: Simulation, trouble: Fault) -> None:
     """All controllers end; they are away for longer than a lease at most."""
     for name in list(region.controllers):
         region.kill_controller(name)
@@ -124,7 +124,7 @@
             await asyncio.sleep(0.3 * (trouble.pick % 3))
 
 
-async def _leaders_change(region: Region, trouble: Trouble) -> None:
+async def _leaders_change(region: Simulation, trouble: Fault) -> None:
     """Leader after leader ends and is back within a fraction of a second."""
     until = region.now() + trouble.for_s
     while region.now() < until:
@@ -136,16 +136,16 @@
         await asyncio.sleep(6.0)
 
 
-def _few(region: Region, pick: int) -> list[str]:
+def _few(region: Simulation, pick: int) -> list[str]:
     busy = sorted({worker.name for worker in region.on.values()}) or sorted(region.workers)
     return busy[pick % 2 :: 2][:8]
 
 
-async def _hang(region: Region, trouble: Trouble) -> None:
+async def _hang(region: Simulation, trouble: Fault) -> None:
     await _block(region.network.hangs, _few(region, trouble.pick), trouble.for_s)
 
 
-async def _freeze(region: Region, trouble: Trouble) -> None:
+async def _freeze(region: Simulation, trouble: Fault) -> None:
     """A controller stands still, and then goes on with what it had begun."""
     name = _someone(region, trouble.pick)
     if name in region.network.hangs:
@@ -159,7 +159,7 @@
     awake.set()
 
 
-async def _flag(region: Region, trouble: Trouble, flag: str, names: Iterable[str]) -> None:
+async def _flag(region: Simulation, trouble: Fault, flag: str, names: Iterable[str]) -> None:
     workers = [region.workers[name] for name in names]
     for worker in workers:
         setattr(worker, flag, True)
@@ -168,20 +168,20 @@
         setattr(worker, flag, False)
 
 
-async def _deaf(region: Region, trouble: Trouble) -> None:
+async def _deaf(region: Simulation, trouble: Fault) -> None:
     await _flag(region, trouble, "deaf", _few(region, trouble.pick))
 
 
-async def _mute(region: Region, trouble: Trouble) -> None:
+async def _mute(region: Simulation, trouble: Fault) -> None:
     await _flag(region, trouble, "mute", _few(region, trouble.pick))
 
 
-async def _all_mute(region: Region, trouble: Trouble) -> None:
+async def _all_mute(region: Simulation, trouble: Fault) -> None:
     """No worker can open a connection to any controller, while direct commands reach them."""
     await _flag(region, trouble, "mute", region.workers)
 
 
-async def _slow_links(region: Region, trouble: Trouble) -> None:
+async def _slow_links(region: Simulation, trouble: Fault) -> None:
     names = [*region.names, *region.workers]
     region.network.slow.update(dict.fromkeys(names, 0.15))
     await asyncio.sleep(trouble.for_s)
@@ -189,12 +189,12 @@
         region.network.slow.pop(name, None)
 
 
-async def _die(region: Region, trouble: Trouble) -> None:
+async def _die(region: Simulation, trouble: Fault) -> None:
     for name in _few(region, trouble.pick)[:3]:
         region.workers.pop(name).destroy()
 
 
-async def _notices(region: Region, trouble: Trouble) -> None:
+async def _notices(region: Simulation, trouble: Fault) -> None:
     """Spot machines are taken back, with notice."""
     names = [n for n in _few(region, trouble.pick) if region.workers[n].spot]
     for name in names:
@@ -206,38 +206,38 @@
             region.workers.pop(name).destroy()
 
 
-async def _late_writes(region: Region, trouble: Trouble) -> None:
+async def _late_writes(region: Simulation, trouble: Fault) -> None:
     region.state.late_share = 0.3
     await asyncio.sleep(trouble.for_s)
     region.state.late_share = 0.0
 
 
-async def _late_reports(region: Region, trouble: Trouble) -> None:
+async def _late_reports(region: Simulation, trouble: Fault) -> None:
     region.late_reports = 0.3
     await asyncio.sleep(trouble.for_s)
     region.late_reports = 0.0
 
 
-async def _cloud_outage(region: Region, trouble: Trouble) -> None:
+async def _cloud_outage(region: Simulation, trouble: Fault) -> None:
     region.cloud_down = True
     await asyncio.sleep(trouble.for_s)
     region.cloud_down = False
 
 
-async def _cancel(region: Region, trouble: Trouble) -> None:
+async def _cancel(region: Simulation, trouble: Fault) -> None:
     """Users call off jobs that run, through any controller that confirms it."""
     running = sorted({task.partition("/")[0] for task in region.on} - region.asked_to_cancel)
     for job_id in running[:4]:
         region.network.spawn(region.withdraw(job_id))
 
 
-async def _cancel_and_hang(region: Region, trouble: Trouble) -> None:
+async def _cancel_and_hang(region: Simulation, trouble: Fault) -> None:
     await _cancel(region, trouble)
     await asyncio.sleep(0.1 * (trouble.pick % 3))
     await _hang(region, trouble)
 
 
-async def _cancel_at_end(region: Region, trouble: Trouble) -> None:
+async def _cancel_at_end(region: Simulation, trouble: Fault) -> None:
     """Jobs are called off, asked after and sent again just as their last task ends."""
     until = region.now() + trouble.for_s
     met: set[str] = set()
@@ -253,7 +253,7 @@
                 region.network.spawn(region.submit(region.specs[job_id], 10.0))
 
 
-async def _odd_requests(region: Region, trouble: Trouble) -> None:
+async def _odd_requests(region: Simulation, trouble: Fault) -> None:
     until = region.now() + trouble.for_s
     while region.now() < until:
         await asyncio.sleep(1.0)
@@ -270,7 +270,7 @@
             region.note("invented", "j-900004 withdrawn")
 
 
-TROUBLES: dict[str, Callable[[Region, Trouble], Coroutine[Any, Any, None]]] = {
+FAULTS: dict[str, Callable[[Simulation, Fault], Coroutine[Any, Any, None]]] = {
     "all_mute": _all_mute,
     "apart": _apart,
     "cancel": _cancel,
@@ -303,7 +303,7 @@
 WITH_GANGS = (*KINDS, "group", "group", "group")
 
 
-def _jobs(region: Region, count: int, kinds: tuple[str, ...]) -> list[tuple[Any, float]]:
+def _jobs(region: Simulation, count: int, kinds: tuple[str, ...]) -> list[tuple[Any, float]]:
     rng = region.rng
     jobs = []
     for i in range(count):
@@ -325,9 +325,9 @@
 
 
 async def _day(
-    seed: int, troubles: list[Trouble], jobs: int, out: list[Region], kinds: tuple[str, ...]
+    seed: int, troubles: list[Fault], jobs: int, out: list[Simulation], kinds: tuple[str, ...]
 ) -> None:
-    region = Region(seed)
+    region = Simulation(seed)
     out.append(region)
     region.start()
     await asyncio.sleep(FIRST_S)
@@ -338,9 +338,9 @@
                 region.network.spawn(region.follow(job.id))
             await asyncio.sleep(region.rng.uniform(0.5, 4.0))
 
-    async def trouble(one: Trouble) -> None:
+    async def trouble(one: Fault) -> None:
         await asyncio.sleep(max(0.0, one.at_s - region.now()))
-        await TROUBLES[one.kind](region, one)
+        await FAULTS[one.kind](region, one)
 
     await asyncio.gather(work(), *(trouble(one) for one in troubles))
     over = region.now()
@@ -362,9 +362,9 @@
 
 
 def play_day(
-    seed: int, troubles: list[Trouble], jobs: int = 14, kinds: tuple[str, ...] = KINDS
-) -> Region:
+    seed: int, troubles: list[Fault], jobs: int = 14, kinds: tuple[str, ...] = KINDS
+) -> Simulation:
     """Play a day; the region with what was broken and counted."""
-    out: list[Region] = []
+    out: list[Simulation] = []
     play(_day(seed, troubles, jobs, out, kinds))
     return out[0]
--- a/tests/gangs.py
+++ b/tests/gangs.py
@@ -6,8 +6,8 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from tests.outside import Worker
-    from tests.region import Region
+    from tests.simulated_services import Worker
+    from tests.simulation import Simulation
 
 GANG_WAIT_S = 20.0
 GANG_PEER_S = 4.0
@@ -31,7 +31,7 @@
 class Gangs:
     """What the tasks of each attempt find out about one another."""
 
-    def __init__(self, region: Region) -> None:
+    def __init__(self, region: Simulation) -> None:
         self.region = region
         self.attempts: dict[tuple[str, int], Attempt] = {}
 
--- a/tests/world.py
+++ b/tests/loopback.py
@@ -2,7 +2,7 @@
 
 Used by the tests, and by hand to try mosswalk without a cloud:
 
-    python3 -m tests.world        three controllers, the first one's port is printed
+    python3 -m tests.loopback        three controllers, the first one's port is printed
 """
 
 from __future__ import annotations
@@ -146,7 +146,7 @@
 class Worker:
     """One machine's worker: reports, runs tasks, keeps its lease."""
 
-    def __init__(self, world: World, name: str, kind: str, zone: str, spot: bool) -> None:
+    def __init__(self, world: LoopbackCluster, name: str, kind: str, zone: str, spot: bool) -> None:
         self.world = world
         self.name, self.kind, self.zone, self.spot = name, kind, zone, spot
         self.port = free_port()
@@ -251,7 +251,7 @@
             self.target += 1
 
 
-class World:
+class LoopbackCluster:
     """Everything around the controllers, and the controllers."""
 
     def __init__(self, teams: tuple[Team, ...] = (Team("red"), Team("blue"))) -> None:
@@ -420,7 +420,7 @@
 
 async def demo() -> None:
     async with AsyncExitStack() as stack:
-        world = World()
+        world = LoopbackCluster()
         world.task_s = 3.0
         await world.start(stack)
         print("\n".join(f"{n}: {a}" for n, a in world.addresses.items()), flush=True)
--- a/tests/outside.py
+++ b/tests/simulated_services.py
@@ -16,7 +16,7 @@
 from tests.standins import Store
 
 if TYPE_CHECKING:
-    from tests.region import Region
+    from tests.simulation import Simulation
 
 REPORT_S = 1.5
 LEASE_S = 12.0
@@ -25,7 +25,7 @@
 class StateService:
     """The store with its leases; may be down, refuse some, be slow, or carry writes out late."""
 
-    def __init__(self, region: Region) -> None:
+    def __init__(self, region: Simulation) -> None:
         self.region = region
         self.store = Store()
         self.leases: dict[int, tuple[float, float]] = {}
@@ -153,7 +153,7 @@
 class Worker:
     """One machine: boots, reports, fetches images, runs tasks, keeps its lease."""
 
-    def __init__(self, region: Region, name: str, kind: str, zone: str, spot: bool) -> None:
+    def __init__(self, region: Simulation, name: str, kind: str, zone: str, spot: bool) -> None:
         self.region, self.name = region, name
         self.kind, self.zone, self.spot = kind, zone, spot
         self.address = f"{name}:9000"
@@ -322,9 +322,9 @@
                 self.answered = sent
                 self.carry_out(decoded["orders"])
             return REPORT_S * region.rng.uniform(0.75, 1.25) - 0.5
-        steward = json.loads(answer).get("steward") if status == 421 else None
-        if steward in region.names and steward != name:
-            self.target = region.names.index(steward)
+        manager = json.loads(answer).get("steward") if status == 421 else None
+        if manager in region.names and manager != name:
+            self.target = region.names.index(manager)
             return 0.0
         self.target = (self.target + 1) % len(region.names)
         return 0.5
--- a/tests/region.py
+++ b/tests/simulation.py
@@ -34,7 +34,7 @@
 from mosswalk.wire.users import JobSpec
 from mosswalk.wire.workers import Report
 from tests.gangs import GANG_PEER_S, GANG_WAIT_S, Gangs
-from tests.outside import LEASE_S, REPORT_S, StateService, Worker
+from tests.simulated_services import LEASE_S, REPORT_S, StateService, Worker
 from tests.standins import shape
 from tests.virtual import PROCESS, Network, Session, VirtualClock
 
@@ -47,7 +47,7 @@
     return job.cpus * (job.tasks if job.kind == "group" else 1)
 
 
-class Region:
+class Simulation:
     """Everything around the controllers, and the controllers."""
 
     def __init__(self, seed: int, teams: tuple[Team, ...] = (Team("red", 8.0, 24.0), Team("blue")),
@@ -209,7 +209,7 @@
         await asyncio.sleep(self.rng.choice([2.0, 5.0, LEASE_S + 4.0, 2 * LEASE_S]))
         name = self.rng.choice(self.names)
         if name in self.controllers:
-            await self.controllers[name][0].steward.report(msgspec.json.decode(body, type=Report))
+            await self.controllers[name][0].manager.report(msgspec.json.decode(body, type=Report))
 
     # The controllers.
 
@@ -255,13 +255,13 @@
 
         async def users(method: str, path: str, body: bytes, _sender: str) -> tuple[int, bytes]:
             if path == "/v1/report":
-                return await controller.steward.report(msgspec.json.decode(body, type=Report))
+                return await controller.manager.report(msgspec.json.decode(body, type=Report))
             if method == "POST" and path == "/api/jobs":
-                reply = await controller.desk.submit(body)
+                reply = await controller.job_service.submit(body)
             elif method == "POST":
-                reply = await controller.desk.withdraw(path.split("/")[3])
+                reply = await controller.job_service.withdraw(path.split("/")[3])
             else:
-                reply = await controller.desk.poll(path.split("/")[3])
+                reply = await controller.job_service.poll(path.split("/")[3])
             return reply.status, reply.body
 
         async def peers(_method: str, path: str, body: bytes, _sender: str) -> tuple[int, bytes]:
@@ -275,7 +275,7 @@
             elif path == "/withdrawn":
                 answer = controller.withdrawn_elsewhere(decoded(Withdrawals))
             elif path == "/poll":
-                answer = await controller.desk.poll_for_other(decoded(str))
+                answer = await controller.job_service.poll_for_other(decoded(str))
             else:
                 answer = controller._sees()
             return 200, msgspec.msgpack.encode(answer)
@@ -286,7 +286,7 @@
     def kill_controller(self, name: str) -> None:
         self.loop.thaw(name)
         controller, tasks = self.controllers.pop(name)
-        for task in [*tasks, *controller.steward._tasks]:
+        for task in [*tasks, *controller.manager._tasks]:
             task.cancel()
         for port in (8080, 8081):
             self.network.hosts.pop(f"{name}:{port}", None)
--- a/tests/test_cluster.py
+++ b/tests/test_cluster.py
@@ -8,11 +8,11 @@
 import msgspec
 
 from mosswalk.config import Team
-from mosswalk.fleet import steward
+from mosswalk.fleet import manager
 from mosswalk.peers import health
 from mosswalk.store import mirror
+from tests.loopback import LEASE_S, LoopbackCluster
 from tests.standins import spec
-from tests.world import LEASE_S, World
 
 
 class Users:
@@ -62,7 +62,7 @@
 def cluster(test, **options):
     async def run():
         async with AsyncExitStack() as stack:
-            world = World(**options)
+            world = LoopbackCluster(**options)
             await world.start(stack)
             users = Users(world)
             await users.eventually("GET", "/healthz", lambda s, b: s == 200)
@@ -153,19 +153,19 @@
         for name in world.addresses:
             await world.start_controller(name)
         await until(lambda: world.leader() is not None)
-        steward = world.controllers[world.leader()][0].steward
+        manager = world.controllers[world.leader()][0].manager
         used = set(where.values())
 
         def heard():
             # Copies of a rent that lost may still be there: only those with tasks are counted.
-            return {m.name for m in steward.book.machines.values() if m.hears} & used
+            return {m.name for m in manager.inventory.machines.values() if m.hears} & used
 
         await until(lambda: heard() == used)
         # Every one reports to the new leader, none has lost its lease, none is given up.
         assert heard() == used
         await asyncio.sleep(LEASE_S)
         assert world.on == where
-        assert not any(steward.book.machines[name].releasing for name in used)
+        assert not any(manager.inventory.machines[name].releasing for name in used)
 
     cluster(test)
 
@@ -278,7 +278,7 @@
 
 
 def test_a_leader_that_no_worker_reaches_hands_over_before_their_leases_end(monkeypatch):
-    monkeypatch.setattr(steward, "TAKEOVER_US", 1_000_000)
+    monkeypatch.setattr(manager, "TAKEOVER_US", 1_000_000)
 
     async def test(world, users):
         world.services.add("j-000075")
@@ -367,8 +367,8 @@
             for late in (early, ghost):
                 await users.call("POST", "/v1/report", late, node=leader)
             await asyncio.sleep(0.05)
-        book = world.controllers[leader][0].steward.book
-        assert "vm-ghost" not in book.machines
+        inventory = world.controllers[leader][0].manager.inventory
+        assert "vm-ghost" not in inventory.machines
         await users.submit(spec("j-000091", tasks=12))
         await users.done("j-000090")
         await users.done("j-000091", 25.0)
--- a/tests/test_desk.py
+++ b/tests/test_desk.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from mosswalk.actors import SystemClock
-from mosswalk.api.jobs import JobDesk
+from mosswalk.api.jobs import JobService
 from mosswalk.config import load
 from mosswalk.store import records
 from mosswalk.store.mirror import Mirror
@@ -22,12 +22,12 @@
         mirror = Mirror(client, clock, rng)
         # Nobody empties its queue, at 10 writes a second.
         writer = GroupWriter(client, clock, rng, 10.0, 4)
-        desk = JobDesk(settings, client, mirror, writer, clock, rng)
-        desk._types_changed("", records.encode([shape()]), 1)
+        job_service = JobService(settings, client, mirror, writer, clock, rng)
+        job_service._types_changed("", records.encode([shape()]), 1)
         team = settings.params.teams[0].name
 
         def submit(i):
-            return desk.submit(msgspec.json.encode(spec(f"j-{i:06d}", team=team)))
+            return job_service.submit(msgspec.json.encode(spec(f"j-{i:06d}", team=team)))
 
         queued = [asyncio.ensure_future(submit(i)) for i in range(13)]
         await asyncio.sleep(0.01)
--- a/tests/test_factory.py
+++ b/tests/test_factory.py
@@ -18,7 +18,7 @@
     pareto_front,
 )
 from mosswalk.jobs.state import Job, new_record
-from mosswalk.placement.rooms import Room, ZoneRule
+from mosswalk.placement.capacity import Room, ZoneRule
 from tests.standins import shape, spec
 from tests.test_placement import job as placed
 
--- a/tests/test_gang_days.py
+++ b/tests/test_gang_days.py
@@ -4,18 +4,18 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from tests.days import WITH_GANGS, Trouble, play_day
+from tests.fault_injection import WITH_GANGS, Fault, play_day
 from tests.test_meetings import MEETINGS, meetings
 
 LOSSES = {
     "nothing": [],
-    "machines die": [Trouble(t, "die", pick=t % 2) for t in (12, 20, 28, 36, 50)],
-    "machines hang and go on": [Trouble(t, "hang", 6, t % 2) for t in (10, 18, 26, 40)],
-    "machines hang for longer than a lease": [Trouble(15, "hang", 25), Trouble(45, "hang", 25, 1)],
+    "machines die": [Fault(t, "die", pick=t % 2) for t in (12, 20, 28, 36, 50)],
+    "machines hang and go on": [Fault(t, "hang", 6, t % 2) for t in (10, 18, 26, 40)],
+    "machines hang for longer than a lease": [Fault(15, "hang", 25), Fault(45, "hang", 25, 1)],
     "machines are taken back with notice": [
-        Trouble(t, "notices", 10, t % 2) for t in range(10, 70, 6)
+        Fault(t, "notices", 10, t % 2) for t in range(10, 70, 6)
     ],
-    "gangs are cancelled in every phase": [Trouble(t, "cancel") for t in range(8, 60, 6)],
+    "gangs are cancelled in every phase": [Fault(t, "cancel") for t in range(8, 60, 6)],
 }
 
 
--- a/tests/test_gangs.py
+++ b/tests/test_gangs.py
@@ -9,20 +9,20 @@
 from msgspec import Raw
 
 from mosswalk.config import Team
-from mosswalk.fleet.book import Book, Machine
-from mosswalk.fleet.late_starts import LateStarts
-from mosswalk.fleet.orders import judge
-from mosswalk.fleet.steward import Steward
-from mosswalk.fleet.stopping import Stopping
+from mosswalk.fleet.inventory import Inventory, Machine
+from mosswalk.fleet.manager import FleetManager
+from mosswalk.fleet.report_evaluation import evaluate_report
+from mosswalk.fleet.stale_starts import StaleStarts
+from mosswalk.fleet.stopping import StopRegistry
 from mosswalk.jobs.admission import never_runs
-from mosswalk.jobs.board import Board
 from mosswalk.jobs.layout import split
+from mosswalk.jobs.registry import JobRegistry
 from mosswalk.jobs.state import Draft, Job, Place, Usage, new_record, withdraw_change
+from mosswalk.placement.capacity import Room
 from mosswalk.placement.gangs import rooms_for_gang
 from mosswalk.placement.owner import Owner
 from mosswalk.placement.preemption import Victim, choose_victims
 from mosswalk.placement.queues import TeamQueue, Urgency
-from mosswalk.placement.rooms import Room
 from mosswalk.store import records
 from mosswalk.store.records import Attempt, RecordLimits
 from mosswalk.store.writer import Change
@@ -46,7 +46,7 @@
         super().__init__()
         self.mirror = MirrorOf()
         self.mirror.ops = OPS
-        self.board = Board(self.mirror)
+        self.registry = JobRegistry(self.mirror)
         self.key = records.job_key(GANG_JOB.id)
         record = new_record(GANG_JOB, 5, CHUNK)
         self.mirror.commit(Change({self.key: 0}, {self.key: Raw(records.encode(record))}))
@@ -57,11 +57,11 @@
         self.started = set()
         self.done = self.withdrawn = self.lost = False
         self.ended = []
-        self.board.on_gang_ending.append(self.ended.append)
+        self.registry.on_gang_ending.append(self.ended.append)
 
     @property
     def job(self):
-        return self.board.jobs.get(GANG_JOB.id)
+        return self.registry.jobs.get(GANG_JOB.id)
 
     def commit(self, draft):
         if draft.changed():
@@ -104,17 +104,17 @@
         self.started |= {(a.task, a.number) for a in self.job.live()}
 
     @precondition(lambda self: self.job and self.live and self.job.record.gang != "placing")
-    @rule(data=st.data(), fate=st.sampled_from(["done", "lost", "stopped", "refused"]))
-    def settle(self, data, fate):
+    @rule(data=st.data(), kind=st.sampled_from(["done", "lost", "stopped", "refused"]))
+    def settle(self, data, kind):
         attempt = self.live[data.draw(st.sampled_from(sorted(self.live)))]
-        if fate == "done" and ((attempt.task, attempt.number) not in self.started or self.lost):
+        if kind == "done" and ((attempt.task, attempt.number) not in self.started or self.lost):
             # Nobody is done without having run, nor once another one is lost.
-            fate = "stopped"
+            kind = "stopped"
         draft = Draft(self.job, FEW)
-        assert draft.settle(attempt.task, attempt.number, fate)
+        assert draft.settle(attempt.task, attempt.number, kind)
         assert not draft.settle(attempt.task, attempt.number, "done")
-        self.done = self.done or fate == "done"
-        self.lost = self.lost or (fate != "done" and not self.done)
+        self.done = self.done or kind == "done"
+        self.lost = self.lost or (kind != "done" and not self.done)
         self.old.append(attempt)
         self.commit(draft)
 
@@ -151,7 +151,7 @@
             final = records.decode_final(self.mirror.rows[records.final_key(GANG_JOB.id)][0])
             assert final.phase == ("withdrawn" if self.withdrawn else "done")
             assert self.withdrawn or self.done
-            assert not self.board.gangs and not self.board.by_machine
+            assert not self.registry.gangs and not self.registry.by_machine
             return
         live = list(job.live())
         assert len({a.number for a in live}) <= 1
@@ -162,7 +162,7 @@
         # All are placed, or none: a task that is gone waits for the others.
         assert job.pending_count() in (0, TASKS)
         assert not job.pending_count() or (not live and not self.done)
-        assert (GANG_JOB.id in self.board.gangs) == bool(live)
+        assert (GANG_JOB.id in self.registry.gangs) == bool(live)
 
 
 GangMachine.TestCase.settings = settings(max_examples=120, stateful_step_count=40)
@@ -237,14 +237,22 @@
 
     def judged(startable, *tasks, stop=None):
         report = Report("vm-1", "x", "small", "a", 1, 1, 7, tasks=tasks)
-        return judge(machine, report, attempts, 7, lambda *_: stop, lambda _: startable,
-                     may_start=True, in_answer=True)  # fmt: skip
+        return evaluate_report(
+            machine,
+            report,
+            attempts,
+            7,
+            lambda *_: stop,
+            lambda _: startable,
+            may_start=True,
+            in_answer=True,
+        )
 
     assert judged(False).orders == [] and judged(False).outcomes == []
     assert [order.op for order in judged(True).orders] == ["run"]
     for cause in ("mates_gone", "alone"):
         outcomes = judged(True, TaskReport("j-1/0", 4, "exited", cause)).outcomes
-        assert [outcome.fate for outcome in outcomes] == ["stopped"]
+        assert [outcome.kind for outcome in outcomes] == ["stopped"]
     assert judged(True, TaskReport("j-1/0", 4, "gathering")).orders == []
 
 
@@ -266,43 +274,55 @@
 
 def _owner(tmp_path, tasks):
     """An owner with a gang, two records of two tasks and what they need around them."""
-    _, mirror, board, book, clock, settings = made(tmp_path, 4)
+    _, mirror, registry, inventory, clock, settings = made(tmp_path, 4)
     mirror.ops = OPS
     job = spec(kind="group", tasks=tasks)
     key = records.job_key(job.id)
     mirror.commit(Change({key: 0}, {key: Raw(records.encode(new_record(job, 5, CHUNK)))}))
     leadership = SimpleNamespace(owns=lambda team: True, gangs_allowed=lambda: True)
-    return Owner(settings, mirror, board, None, leadership, clock), mirror, board, book, settings
+    return (
+        Owner(settings, mirror, registry, None, leadership, clock),
+        mirror,
+        registry,
+        inventory,
+        settings,
+    )
 
 
 def test_an_owner_ends_an_attempt_of_which_another_wrote_only_a_part(tmp_path):
-    owner, mirror, board, _, _ = _owner(tmp_path, 8)
-    draft = Draft(board.jobs["j-000001"], FEW)
+    owner, mirror, registry, _, _ = _owner(tmp_path, 8)
+    draft = Draft(registry.jobs["j-000001"], FEW)
     left = draft.place_gang([Place(i, "vm-0000", 1) for i in range(8)], 1)
     assert left
     mirror.commit(draft.change({}))
     drafts = {}
     owner._give_up_half_placed(drafts)
     mirror.commit(drafts["j-000001"].change({}))
-    assert board.jobs["j-000001"].ending and not board.jobs["j-000001"].startable
+    assert registry.jobs["j-000001"].ending and not registry.jobs["j-000001"].startable
 
 
 def test_what_is_left_of_an_ending_gang_is_stopped_but_not_what_saves(tmp_path):
-    _, mirror, board, book, settings = _owner(tmp_path, 2)
-    draft = Draft(board.jobs["j-000001"], FEW)
+    _, mirror, registry, inventory, settings = _owner(tmp_path, 2)
+    draft = Draft(registry.jobs["j-000001"], FEW)
     draft.place_gang([Place(0, "vm-0000", 1), Place(1, "vm-0001", 1)], 1)
     mirror.commit(draft.change({}))
     pushed = []
     clock = FakeClock()
-    stopping = Stopping(settings, book, board, lambda m, o: pushed.append((m.name, o.grace_s)),
-                        lambda _: False, clock)  # fmt: skip
-    for machine in book.machines.values():
+    stopping = StopRegistry(
+        settings,
+        inventory,
+        registry,
+        lambda m, o: pushed.append((m.name, o.grace_s)),
+        lambda _: False,
+        clock,
+    )
+    for machine in inventory.machines.values():
         machine.tenure = 1
-    one, two = book.machines["vm-0000"], book.machines["vm-0001"]
-    board.on_gang_ending.append(stopping.end_gang)
+    one, two = inventory.machines["vm-0000"], inventory.machines["vm-0001"]
+    registry.on_gang_ending.append(stopping.end_gang)
     assert stopping.grace_s(one, ("j-000001", 0, 1)) is None
-    stopping.stop(board.jobs["j-000001"], next(iter(board.jobs["j-000001"].live())), 6.0)
-    draft = Draft(board.jobs["j-000001"], FEW)
+    stopping.stop(registry.jobs["j-000001"], next(iter(registry.jobs["j-000001"].live())), 6.0)
+    draft = Draft(registry.jobs["j-000001"], FEW)
     draft.end_gang()
     mirror.commit(draft.change({}))
     assert stopping.grace_s(one, ("j-000001", 0, 1)) == 6.0
@@ -313,54 +333,57 @@
 
 
 def test_a_notice_saves_the_whole_gang_or_none_of_it(tmp_path):
-    _, mirror, board, _, clock, settings = made(tmp_path, 3)
-    book = Book()
+    _, mirror, registry, _, clock, settings = made(tmp_path, 3)
+    inventory = Inventory()
     for i in range(3):
-        book.machines[f"vm-{i}"] = Machine(f"vm-{i}", "small", "a", True, "up", 0, 0, tenure=1)
+        inventory.machines[f"vm-{i}"] = Machine(f"vm-{i}", "small", "a", True, "up", 0, 0, tenure=1)
     submit(mirror, kind="group", tasks=2, checkpoint_s=20.0, save_s=3.0)
-    draft = Draft(board.jobs["j-000001"], LIMITS)
+    draft = Draft(registry.jobs["j-000001"], LIMITS)
     draft.place_gang([Place(0, "vm-0", 1), Place(1, "vm-1", 1)], 1)
     mirror.commit(draft.change({}))
-    stopping = Stopping(settings, book, board, lambda *_: None, lambda _: False, clock)
+    stopping = StopRegistry(settings, inventory, registry, lambda *_: None, lambda _: False, clock)
     assert list(stopping.gangs_to_save()) == []
-    book.machines["vm-0"].notice_until_us = clock.us + 10_000_000
+    inventory.machines["vm-0"].notice_until_us = clock.us + 10_000_000
     # On its own, a task under notice is not told to save.
-    assert stopping.grace_s(book.machines["vm-0"], ("j-000001", 0, 1)) is None
-    book.machines["vm-1"].deaf_since_us = clock.us
+    assert stopping.grace_s(inventory.machines["vm-0"], ("j-000001", 0, 1)) is None
+    inventory.machines["vm-1"].deaf_since_us = clock.us
     assert list(stopping.gangs_to_save()) == []
-    book.machines["vm-1"].deaf_since_us = None
+    inventory.machines["vm-1"].deaf_since_us = None
     (job,) = stopping.gangs_to_save()
     stopping.stop_gang(job)
-    assert [stopping.grace_s(book.machines[f"vm-{i}"], ("j-000001", i, 1)) for i in (0, 1)] == [
-        3.0, 3.0,
-    ]  # fmt: skip
+    assert [
+        stopping.grace_s(inventory.machines[f"vm-{i}"], ("j-000001", i, 1)) for i in (0, 1)
+    ] == [
+        3.0,
+        3.0,
+    ]
     assert list(stopping.gangs_to_save()) == []
 
 
 def test_a_gang_told_to_stop_may_go_on_for_a_while_without_being_taken_for_deaf(tmp_path):
-    _, _, board, _, _ = _owner(tmp_path, 2)
-    shows = partial(Steward._next_report_shows, SimpleNamespace(_board=board))
+    _, _, registry, _, _ = _owner(tmp_path, 2)
+    shows = partial(FleetManager._next_report_shows, SimpleNamespace(_registry=registry))
     assert shows(Order("run", "j-000001/0", 1)) and shows(Order("reap", "j-000001/0", 1))
     assert not shows(Order("kill", "j-000001/0", 1, 3.0))
     assert shows(Order("kill", "j-000002/0", 1, 3.0))
 
 
 def test_an_unanswered_start_of_an_ending_gang_is_outdated_by_a_new_term(tmp_path):
-    _, mirror, board, book, _ = _owner(tmp_path, 2)
-    draft = Draft(board.jobs["j-000001"], FEW)
+    _, mirror, registry, inventory, _ = _owner(tmp_path, 2)
+    draft = Draft(registry.jobs["j-000001"], FEW)
     draft.place_gang([Place(0, "vm-0000", 1), Place(1, "vm-0001", 1)], 1)
     mirror.commit(draft.change({}))
     clock, asked = FakeClock(), []
     leadership = SimpleNamespace(epoch=lambda: 1, want_new_term=lambda: asked.append(True))
-    late = LateStarts(book, board, leadership, clock)
-    book.machines["vm-0000"].tenure = 1
-    book.machines["vm-0000"].unanswered = {("j-000001/0", 1): (1, 1)}
+    late = StaleStarts(inventory, registry, leadership, clock)
+    inventory.machines["vm-0000"].tenure = 1
+    inventory.machines["vm-0000"].unanswered = {("j-000001/0", 1): (1, 1)}
     for ending in (False, True):
         if ending:
-            draft = Draft(board.jobs["j-000001"], FEW)
+            draft = Draft(registry.jobs["j-000001"], FEW)
             draft.end_gang()
             mirror.commit(draft.change({}))
-        late.turn()
+        late.check()
         clock.us += 6_000_000
-        late.turn()
+        late.check()
         assert bool(asked) == ending
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -15,7 +15,7 @@
 from mosswalk.store import records
 from mosswalk.store.mirror import Mirror
 from mosswalk.wire import state as wire
-from mosswalk.wire.peers import Sight
+from mosswalk.wire.peers import PeerStatus
 from tests.standins import FakeClient, FakeClock, Store
 from tests.test_config import write
 
@@ -24,11 +24,11 @@
     def __init__(self, answers):
         self.answers = answers
 
-    async def sight(self, node):
+    async def peer_status(self, node):
         answer = self.answers[node]
         if answer is None:
             raise OSError("refused")
-        return Sight(answer)
+        return PeerStatus(answer)
 
 
 @pytest.mark.parametrize(
@@ -99,11 +99,11 @@
 
 def test_one_keeps_workers_alive_only_where_nobody_leads_nor_knows_who_does():
     async def run():
-        answers = {"lead": None, "in": Sight(False)}
+        answers = {"lead": None, "in": PeerStatus(False)}
         clock, confirmed_us = FakeClock(), 0
 
         class Link:
-            async def sight(self, node):
+            async def peer_status(self, node):
                 if answers[node] is None:
                     raise OSError
                 return answers[node]
@@ -116,10 +116,10 @@
         await health.look()
         assert health.left_alone_by("lead") and not health.left_alone_by("in")
         assert health.left_alone_by(None)
-        answers["in"] = Sight(True)
+        answers["in"] = PeerStatus(True)
         await health.look()
         assert not health.left_alone_by("lead")
-        answers["in"], answers["lead"] = Sight(False), Sight(False)
+        answers["in"], answers["lead"] = PeerStatus(False), PeerStatus(False)
         await health.look()
         assert not health.left_alone_by("lead")
 
--- a/tests/test_jobs.py
+++ b/tests/test_jobs.py
@@ -7,7 +7,7 @@
 
 from mosswalk.config import Team
 from mosswalk.jobs.admission import never_runs
-from mosswalk.jobs.board import Board
+from mosswalk.jobs.registry import JobRegistry
 from mosswalk.jobs.state import Draft, Job, Place, new_record, withdraw_change
 from mosswalk.store import records
 from mosswalk.store.records import RecordLimits
@@ -20,7 +20,7 @@
 
 
 class MirrorOf:
-    """Applies changes as the state service would, and feeds a board."""
+    """Applies changes as the state service would, and feeds a registry."""
 
     def __init__(self) -> None:
         self.listeners = []
@@ -50,7 +50,7 @@
     def __init__(self):
         super().__init__()
         self.mirror = MirrorOf()
-        self.board = Board(self.mirror)
+        self.registry = JobRegistry(self.mirror)
         record = new_record(spec(tasks=TASKS), 5, chunk=7)
         self.key = records.job_key("j-000001")
         self.mirror.commit(Change({self.key: 0}, {self.key: Raw(records.encode(record))}))
@@ -62,7 +62,7 @@
 
     @property
     def job(self):
-        return self.board.jobs.get("j-000001")
+        return self.registry.jobs.get("j-000001")
 
     def commit(self, draft):
         if draft.changed():
@@ -83,18 +83,18 @@
         self.commit(draft)
 
     @precondition(lambda self: self.job and self.live)
-    @rule(data=st.data(), fate=st.sampled_from(["done", "error", "lost", "stopped"]))
-    def settle(self, data, fate):
+    @rule(data=st.data(), kind=st.sampled_from(["done", "error", "lost", "stopped"]))
+    def settle(self, data, kind):
         index = data.draw(st.sampled_from(sorted(self.live)))
         attempt = self.live[index]
         draft = Draft(self.job, FEW_OPS)
-        assert draft.settle(index, attempt.number, fate)
+        assert draft.settle(index, attempt.number, kind)
         # The same message again, as the leader repeats it, changes nothing.
         assert not draft.settle(index, attempt.number, "done")
         self.commit(draft)
         del self.live[index]
         self.old.append(attempt)
-        if fate == "done":
+        if kind == "done":
             self.done.add(index)
 
     @precondition(lambda self: self.job and self.old)
@@ -123,30 +123,30 @@
             assert not self.live
             assert final.phase == ("withdrawn" if self.withdrawn else "done")
             assert self.withdrawn or len(self.done) == TASKS
-            assert not self.board.by_machine
-            assert not self.board.unplaced["red"] and not self.board.withdrawn
-            assert self.board.usage()["red"].cpus == 0
+            assert not self.registry.by_machine
+            assert not self.registry.unplaced["red"] and not self.registry.withdrawn
+            assert self.registry.usage()["red"].cpus == 0
             return
         live = {a.task: a for a in job.live()}
         assert live == self.live
         assert job.record.live_count == len(live) and job.record.done_count == len(self.done)
         assert set(job.pending()) == set(range(TASKS)) - set(live) - self.done
         # What plans read instead of walking all jobs.
-        board = self.board
+        registry = self.registry
         pending = job.open and job.pending_count() > 0
-        assert list(board.unplaced["red"]) == (["j-000001"] if pending else [])
-        assert list(board.withdrawn) == ([] if job.open else ["j-000001"])
-        assert board.usage()["red"].cpus == len(live) * job.cpus
-        on_machines = sum(len(there) for there in self.board.by_machine.values())
+        assert list(registry.unplaced["red"]) == (["j-000001"] if pending else [])
+        assert list(registry.withdrawn) == ([] if job.open else ["j-000001"])
+        assert registry.usage()["red"].cpus == len(live) * job.cpus
+        on_machines = sum(len(there) for there in self.registry.by_machine.values())
         assert on_machines == len(live)
         # A controller that has just started reads all keys in order, chunks before headers.
         anew = MirrorOf()
-        board = Board(anew)
+        registry = JobRegistry(anew)
         for key, (value, version) in sorted(self.mirror.rows.items()):
             for prefix, listener in anew.listeners:
                 if key.startswith(prefix):
                     listener(key, value, version)
-        assert board.by_machine == self.board.by_machine
+        assert registry.by_machine == self.registry.by_machine
 
 
 JobMachine.TestCase.settings = settings(max_examples=60, stateful_step_count=40)
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -10,8 +10,8 @@
 from msgspec import Raw
 
 from mosswalk.config import NextStateLimits, StateLimits
-from mosswalk.jobs.board import Board
 from mosswalk.jobs.layout import is_too_coarse, split
+from mosswalk.jobs.registry import JobRegistry
 from mosswalk.jobs.state import Draft, Job, Place, new_record, record_limits, withdraw_change
 from mosswalk.store import records
 from mosswalk.store.client import InvalidRequestError, RefusedError, UnknownOutcomeError
@@ -38,24 +38,24 @@
 def test_a_job_is_split_into_records_that_fit_whatever_of_it_runs(tasks, data):
     """Written for 256 tasks a record; split between any two of its commits, or left half split."""
     mirror = MirrorOf()
-    board = Board(mirror)
+    registry = JobRegistry(mirror)
     record = new_record(spec(tasks=tasks), 1 << 50, 256)
     key = records.job_key("j-000001")
     mirror.commit(Change({key: 0}, {key: Raw(records.encode(record))}))
-    draft = Draft(board.jobs["j-000001"], LIMITS)
+    draft = Draft(registry.jobs["j-000001"], LIMITS)
     for index in range(tasks):
         draft.place(Place(index, f"vm-{index // 8:06d}", 1), 12)
     mirror.ops = 16
     mirror.commit(draft.change({}))
-    draft = Draft(board.jobs["j-000001"], LIMITS)
+    draft = Draft(registry.jobs["j-000001"], LIMITS)
     for index in sorted(data.draw(st.sets(st.integers(0, tasks - 1), max_size=60))):
         draft.settle(index, index + 1, data.draw(st.sampled_from(["done", "lost"])))
     if draft.final() is None:
         mirror.commit(draft.change({}))
-    job = board.jobs["j-000001"]
+    job = registry.jobs["j-000001"]
     seen = []
-    board.on_attempt.append(lambda machine, _, attempt: seen.append(attempt))
-    before = (set(job.live()), list(job.pending()), copy.deepcopy(board.by_machine))
+    registry.on_attempt.append(lambda machine, _, attempt: seen.append(attempt))
+    before = (set(job.live()), list(job.pending()), copy.deepcopy(registry.by_machine))
     if not is_too_coarse(job, LOWERED):
         assert tasks <= 32
         return
@@ -76,26 +76,26 @@
             mirror.commit(draft.change({}))
         else:
             mirror.commit(withdraw_change(job, 9))
-        job = board.jobs["j-000001"]
-        now = (set(job.live()), list(job.pending()), copy.deepcopy(board.by_machine))
+        job = registry.jobs["j-000001"]
+        now = (set(job.live()), list(job.pending()), copy.deepcopy(registry.by_machine))
         assert ended or now == before
         before = now
         mirror.ops = LOWERED.txn_ops
         for change in split(job, LOWERED).changes({key: job.version}, LOWERED.txn_ops):
             mirror.commit(change)
-    job = board.jobs["j-000001"]
-    assert (set(job.live()), list(job.pending()), board.by_machine) == before
+    job = registry.jobs["j-000001"]
+    assert (set(job.live()), list(job.pending()), registry.by_machine) == before
     assert not is_too_coarse(job, LOWERED) and seen == []
     # A controller that reads all of it anew sees the same.
     other = MirrorOf()
-    again = Board(other)
+    again = JobRegistry(other)
     for row in sorted(mirror.rows):
         for prefix, listener in other.listeners:
             if row.startswith(prefix):
                 listener(row, *mirror.rows[row])
     assert set(again.jobs["j-000001"].live()) == before[0] and again.by_machine == before[2]
     # What was left behind goes, and only that.
-    stale = {orphan.key for orphan in board.orphans()}
+    stale = {orphan.key for orphan in registry.orphans()}
     live = {records.chunk_key(job.id, n, job.record.layout) for n in job.chunks}
     assert stale | live == {k for k in mirror.rows if k.startswith(records.CHUNK_PREFIX)}
     assert not stale & live
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -4,9 +4,9 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from tests.days import TROUBLES, Trouble, play_day
+from tests.fault_injection import FAULTS, Fault, play_day
 
-T = Trouble
+T = Fault
 
 # Each with its troubles, and how many jobs there are: 14 fit the machines there are, 30 do not.
 MEETINGS = {
@@ -87,7 +87,7 @@
 
 # What takes the state service from a controller; others may meet it.
 CUTS = ("refused", "refused", "apart", "freeze", "late_writes", "state_slow")
-OTHERS = tuple(sorted(TROUBLES.keys() - {*CUTS, "cancel", "state_outage"}))
+OTHERS = tuple(sorted(FAULTS.keys() - {*CUTS, "cancel", "state_outage"}))
 GAPS_S = st.sampled_from([0.3, 1.0, 2.0])
 
 
@@ -102,13 +102,13 @@
     picks = st.integers(0, 5)
     troubles = []
     for kind in draw(st.permutations([draw(st.sampled_from(CUTS)), "cancel", "state_outage"])):
-        troubles.append(Trouble(at_s, kind, draw(st.sampled_from([14.0, 57.0])), draw(picks)))
+        troubles.append(Fault(at_s, kind, draw(st.sampled_from([14.0, 57.0])), draw(picks)))
         at_s += draw(GAPS_S)
     for kind in draw(st.lists(st.sampled_from(OTHERS), max_size=2)):
         # A machine that hangs to beyond cancel_s while nobody may act can't be helped: where
         # troubles meet at will it goes on before. The days above have the longer ones.
         for_s = min(25.0 if "hang" in kind else 57.0, draw(lengths_s))
-        troubles.append(Trouble(at_s + draw(GAPS_S), kind, for_s, draw(picks)))
+        troubles.append(Fault(at_s + draw(GAPS_S), kind, for_s, draw(picks)))
     return troubles
 
 
--- a/tests/test_offers.py
+++ b/tests/test_offers.py
@@ -8,13 +8,13 @@
 
 from mosswalk.config import Team, load
 from mosswalk.factory.loop import WaitingTasks
-from mosswalk.fleet.book import Book, Machine
+from mosswalk.fleet.inventory import Inventory, Machine
 from mosswalk.fleet.offers import Offers
-from mosswalk.fleet.preempting import Preempting
-from mosswalk.jobs.board import Board
+from mosswalk.fleet.preempting import Preemptor
+from mosswalk.jobs.registry import JobRegistry
 from mosswalk.jobs.state import Draft, Place, new_record
+from mosswalk.placement.capacity import ZoneRule
 from mosswalk.placement.owner import Owner
-from mosswalk.placement.rooms import ZoneRule
 from mosswalk.store import records
 from mosswalk.store.records import TermRecord
 from mosswalk.store.writer import Change
@@ -40,20 +40,20 @@
     settings = load(write(tmp_path))
     settings = structs.replace(settings, params=structs.replace(
         settings.params, teams=(Team("red"),)))  # fmt: skip
-    mirror, book, clock = MirrorOf(), Book(), FakeClock()
-    board = Board(mirror)
-    book.types = {"small": shape()}
+    mirror, inventory, clock = MirrorOf(), Inventory(), FakeClock()
+    registry = JobRegistry(mirror)
+    inventory.types = {"small": shape()}
     for i in range(machines):
         name = f"vm-{i:04d}"
-        book.machines[name] = Machine(name, "small", "a", False, "up", 0, 0, "x", hears=True,
+        inventory.machines[name] = Machine(name, "small", "a", False, "up", 0, 0, "x", hears=True,
                                       seen_us=clock.us)  # fmt: skip
     term = TermRecord(1, "a", {"red": "a"})
     leadership = SimpleNamespace(term=term, may_start=lambda: True, node="a")
     renting = SimpleNamespace(
         cordoned=set(), note_stuck=lambda queues: None, nothing_stuck=lambda: None
     )
-    offers = Counted(settings, mirror, board, book, leadership, renting, clock, {})
-    return offers, mirror, board, book, clock, settings
+    offers = Counted(settings, mirror, registry, inventory, leadership, renting, clock, {})
+    return offers, mirror, registry, inventory, clock, settings
 
 
 def submit(mirror, placed=(), **changes):
@@ -63,15 +63,15 @@
     return key
 
 
-def place(mirror, board, count, machine):
-    draft = Draft(next(iter(board.jobs.values())), LIMITS)
+def place(mirror, registry, count, machine):
+    draft = Draft(next(iter(registry.jobs.values())), LIMITS)
     for index in range(count):
         draft.place(Place(index, machine, 1), 1)
     mirror.commit(draft.change({}))
 
 
 def test_a_plan_builds_only_the_room_of_machines_of_which_something_changed(tmp_path):
-    offers, mirror, board, _, clock, _ = made(tmp_path, 300)
+    offers, mirror, registry, _, clock, _ = made(tmp_path, 300)
     offers.refresh()
     offers.plan()
     # Nothing to place: no machine is looked at.
@@ -85,7 +85,7 @@
     submit(mirror, tasks=1)
     ((node, offer),) = offers.plan()
     assert node == "a" and len(offer.teams[0].slots) == 1 and offers.builds == 301
-    place(mirror, board, 1, offer.teams[0].slots[0].machine)
+    place(mirror, registry, 1, offer.teams[0].slots[0].machine)
     submit(mirror, id="j-000002", tasks=1)
     offers.plan()
     assert offers.builds == 302
@@ -102,10 +102,10 @@
 def test_room_is_free_once_the_exit_is_reported_and_only_on_machines_that_hear(
     tmp_path_factory, phase, hears, deaf
 ):
-    offers, mirror, board, book, _, _ = made(tmp_path_factory.mktemp("offers"), 1)
+    offers, mirror, registry, inventory, _, _ = made(tmp_path_factory.mktemp("offers"), 1)
     submit(mirror, tasks=2, cpus=3.0)
-    place(mirror, board, 1, "vm-0000")
-    machine = book.machines["vm-0000"]
+    place(mirror, registry, 1, "vm-0000")
+    machine = inventory.machines["vm-0000"]
     machine.hears, machine.deaf_since_us = hears, 5 if deaf else None
     if phase is not None:
         machine.tasks = {("j-000001/0", 1): TaskReport("j-000001/0", 1, phase, "done")}
@@ -117,17 +117,17 @@
 
 
 def test_completed_tasks_are_gathered_while_writes_are_scarce_but_never_the_last_one(tmp_path):
-    _, mirror, board, _, clock, settings = made(tmp_path, 1)
+    _, mirror, registry, _, clock, settings = made(tmp_path, 1)
     submit(mirror, tasks=4)
-    place(mirror, board, 3, "vm-0000")
+    place(mirror, registry, 3, "vm-0000")
     ample = False
     writer = SimpleNamespace(ample=lambda: ample, share=lambda part: None)
     leadership = SimpleNamespace(owns=lambda team: True, gangs_allowed=lambda: False)
-    owner = Owner(settings, mirror, board, writer, leadership, clock)
+    owner = Owner(settings, mirror, registry, writer, leadership, clock)
 
     def drafted(*outcomes):
         owner.outcomes(SimpleNamespace(outcomes=[
-            Outcome(f"j-000001/{i}", i + 1, "vm-0000", fate) for i, fate in outcomes]))  # fmt: skip
+            Outcome(f"j-000001/{i}", i + 1, "vm-0000", kind) for i, kind in outcomes]))  # fmt: skip
         drafts = {}
         owner._apply_outcomes(drafts)
         return sum(len(d.settled) for d in drafts.values())
@@ -141,22 +141,22 @@
     ample = True
     assert drafted((0, "done")) == 1
     ample = False
-    record = structs.replace(board.jobs["j-000001"].record, done_count=3)
-    board.jobs["j-000001"].record = record
+    record = structs.replace(registry.jobs["j-000001"].record, done_count=3)
+    registry.jobs["j-000001"].record = record
     assert drafted((2, "done")) == 1
 
 
 def test_a_round_takes_what_can_be_written_in_a_moment_and_the_most_urgent_first(tmp_path):
     """A cut healed, 170 services and as many arrays had lost tasks: one round of 8 s for all."""
-    _, mirror, board, _, clock, settings = made(tmp_path, 1)
+    _, mirror, registry, _, clock, settings = made(tmp_path, 1)
     for i in range(40):
         priority = "prod" if i % 10 == 9 else "idle" if i % 2 else "standard"
         submit(mirror, id=f"j-{i:06d}", tasks=2, priority=priority)
-        draft = Draft(board.jobs[f"j-{i:06d}"], LIMITS)
+        draft = Draft(registry.jobs[f"j-{i:06d}"], LIMITS)
         draft.place(Place(0, "vm-0000", 1), 1)
         mirror.commit(draft.change({}))
     leadership = SimpleNamespace(owns=lambda team: True, gangs_allowed=lambda: False)
-    owner = Owner(settings, mirror, board, None, leadership, clock)
+    owner = Owner(settings, mirror, registry, None, leadership, clock)
     owner.outcomes(SimpleNamespace(outcomes=[
         Outcome(f"j-{i:06d}/0", 1, "vm-0000", "lost") for i in range(40)]))  # fmt: skip
     drafts = {}
@@ -173,7 +173,7 @@
     owner._apply_outcomes(drafts)
     assert len(drafts) == owner._most_settled
     for job_id in prod:
-        draft = Draft(board.jobs[job_id], LIMITS)
+        draft = Draft(registry.jobs[job_id], LIMITS)
         assert draft.place(Place(0, "vm-0000", 1), 1) and draft.place(Place(1, "vm-0000", 1), 1)
         mirror.commit(draft.change({}))
     drafts = {}
@@ -182,12 +182,12 @@
 
 
 def test_an_exit_that_is_reported_is_no_victim_and_frees_its_room_once(tmp_path):
-    offers, mirror, board, book, clock, settings = made(tmp_path, 1)
+    offers, mirror, registry, inventory, clock, settings = made(tmp_path, 1)
     submit(mirror, tasks=4, cpus=1.0, priority="idle")
-    place(mirror, board, 4, "vm-0000")
+    place(mirror, registry, 4, "vm-0000")
     waits = WaitingTasks(placed("j-000009", tasks=3, priority="prod"), 3, ZoneRule(False, 3))
-    preempting = Preempting(settings, book, board, offers, clock)
-    book.machines["vm-0000"].tasks = {
+    preempting = Preemptor(settings, inventory, registry, offers, clock)
+    inventory.machines["vm-0000"].tasks = {
         (f"j-000001/{i}", i + 1): TaskReport(f"j-000001/{i}", i + 1, "exited", "stopped")
         for i in range(2)
     }
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -4,9 +4,9 @@
 from mosswalk.config import Objective, Team
 from mosswalk.jobs.state import Draft, Job, Place, new_record
 from mosswalk.leadership.terms import assign_teams, needs_new_term, next_term
+from mosswalk.placement.capacity import Room, room_to_keep, zone_rule
 from mosswalk.placement.preemption import Victim, choose_victims, worth_saving
 from mosswalk.placement.queues import TeamQueue, Urgency, Usage, serve_in_turn, shielded
-from mosswalk.placement.rooms import Room, room_to_keep, zone_rule
 from tests.standins import LIMITS, spec
 
 
--- a/tests/test_hearing.py
+++ b/tests/test_reachability.py
@@ -3,7 +3,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from mosswalk.fleet.book import Machine, carried_out
+from mosswalk.fleet.inventory import Machine, carried_out
 from mosswalk.wire.workers import Order, Report, TaskReport
 
 S = 1_000_000
--- a/tests/test_visitors.py
+++ b/tests/test_recent_workers.py
@@ -1,7 +1,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from mosswalk.fleet.visitors import Visitors, cut_from_workers
+from mosswalk.fleet.recent_workers import RecentWorkers, cut_from_workers
 from tests.standins import FakeClock
 
 S = 1_000_000
@@ -25,13 +25,13 @@
 
 def test_a_machine_counts_once_and_for_a_while():
     clock = FakeClock()
-    visitors = Visitors(4 * S, clock)
-    visitors.came("a")
+    recent_workers = RecentWorkers(4 * S, clock)
+    recent_workers.record("a")
     clock.us += 3 * S
-    visitors.came("a")
-    visitors.came("b")
-    assert visitors.count() == 2
+    recent_workers.record("a")
+    recent_workers.record("b")
+    assert recent_workers.count() == 2
     clock.us += 3 * S
-    assert visitors.count() == 2
+    assert recent_workers.count() == 2
     clock.us += 2 * S
-    assert visitors.count() == 0
+    assert recent_workers.count() == 0
--- a/tests/test_renting.py
+++ b/tests/test_renting.py
@@ -1,6 +1,6 @@
 from mosswalk.config import load
-from mosswalk.fleet.book import Book
-from mosswalk.fleet.renting import Renting
+from mosswalk.fleet.inventory import Inventory
+from mosswalk.fleet.renting import FleetScaler
 from tests.standins import FakeClock, shape
 from tests.test_config import write
 from tests.test_placement import job
@@ -9,9 +9,9 @@
 
 
 def test_patience_for_steady_machines_ends_in_time_for_their_boot(tmp_path):
-    clock, book = FakeClock(), Book()
-    book.types = {"small": shape(boot_s=15.0)}
-    renting = Renting(load(write(tmp_path)), book, None, clock)
+    clock, inventory = FakeClock(), Inventory()
+    inventory.types = {"small": shape(boot_s=15.0)}
+    renting = FleetScaler(load(write(tmp_path)), inventory, None, clock)
     begun_us = clock.us
 
     def patient(after_s, guaranteed=False, **changes):
--- a/tests/test_orders.py
+++ b/tests/test_report_evaluation.py
@@ -4,8 +4,8 @@
 from hypothesis import strategies as st
 from msgspec import structs
 
-from mosswalk.fleet.book import Book, Machine
-from mosswalk.fleet.orders import judge, kills_of_closed
+from mosswalk.fleet.inventory import Inventory, Machine
+from mosswalk.fleet.report_evaluation import evaluate_report, kills_of_closed
 from mosswalk.jobs.state import Job, new_record
 from mosswalk.store.records import Attempt
 from mosswalk.wire.workers import Report, TaskReport
@@ -24,15 +24,17 @@
 def look(tasks=(), attempts=ATTEMPT, tenure=2, epoch=7, stop=None, on=None, **changes):
     report = Report("vm-1", "h:1", "small", "a", tenure, 50, epoch, tasks=tuple(tasks))
     options = {"may_start": True, "in_answer": True, **changes}
-    return judge(on or machine(), report, attempts, 7, lambda *_: stop, lambda _: True, **options)
+    return evaluate_report(
+        on or machine(), report, attempts, 7, lambda *_: stop, lambda _: True, **options
+    )
 
 
 def listed(phase, cause=None, attempt=4):
     return TaskReport("j-1/0", attempt, phase, cause)
 
 
-def verbs(judgement):
-    return [(o.op, o.task, o.attempt) for o in judgement.orders]
+def verbs(evaluation):
+    return [(o.op, o.task, o.attempt) for o in evaluation.orders]
 
 
 def test_a_committed_attempt_is_started_until_the_worker_lists_it():
@@ -43,7 +45,7 @@
 
 def test_an_exit_is_told_and_reaped_only_once_the_record_shows_it():
     told = look([listed("exited", "done")])
-    assert [o.fate for o in told.outcomes] == ["done"] and verbs(told) == []
+    assert [o.kind for o in told.outcomes] == ["done"] and verbs(told) == []
     assert verbs(look([listed("exited", "done")], attempts={})) == [("reap", "j-1/0", 4)]
 
 
@@ -56,12 +58,12 @@
 
 
 def test_a_higher_tenure_is_proof_that_the_attempt_is_gone():
-    assert [o.fate for o in look(tenure=3).outcomes] == ["lost"]
+    assert [o.kind for o in look(tenure=3).outcomes] == ["lost"]
     assert verbs(look(tenure=3)) == []
 
 
 def test_absence_is_proof_only_when_no_order_can_start_the_attempt_any_more():
-    assert [o.fate for o in look(stop=0.0).outcomes] == ["lost"]
+    assert [o.kind for o in look(stop=0.0).outcomes] == ["lost"]
     # The worker has not seen our epoch: an earlier leader's order may still be carried out.
     assert look(stop=0.0, epoch=6).outcomes == []
     # The answer to /orders may overtake our answer to the worker's report.
@@ -104,15 +106,15 @@
         assert not got.outcomes and not starts
     if stop is not None or tenure != 2:
         assert not starts
-    if any(o.fate == "lost" for o in got.outcomes):
+    if any(o.kind == "lost" for o in got.outcomes):
         assert tenure > 2 or (epoch >= 7 and stop is not None and pending != (7, 2))
 
 
 def test_a_machine_that_is_gone_stays_gone_however_late_the_list_is():
-    book = Book()
-    book.machines["vm-1"] = machine()
-    book.remove("vm-1")
-    assert book.gone("vm-1") and "vm-1" not in book.machines
+    inventory = Inventory()
+    inventory.machines["vm-1"] = machine()
+    inventory.remove("vm-1")
+    assert inventory.gone("vm-1") and "vm-1" not in inventory.machines
 
 
 def test_an_image_leaves_the_cache_when_the_worker_would_drop_it():
