--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -7,10 +7,10 @@
 from msgspec import Raw, structs
 
 from mosswalk.config import Team, load
-from mosswalk.fleet.book import Machine
+from mosswalk.fleet.inventory import Machine
+from mosswalk.fleet.manager import FleetManager
 from mosswalk.fleet.messages import ReportIn
-from mosswalk.fleet.steward import Steward
-from mosswalk.jobs.board import Board
+from mosswalk.jobs.registry import JobRegistry
 from mosswalk.store import records
 from mosswalk.store.records import TermRecord
 from mosswalk.store.writer import Change
@@ -51,41 +51,47 @@
 @pytest.fixture
 def led(tmp_path):
     settings = load(write(tmp_path))
-    settings = structs.replace(settings, params=structs.replace(
-        settings.params, teams=(Team("red"),)))  # fmt: skip
+    settings = structs.replace(
+        settings, params=structs.replace(settings.params, teams=(Team("red"),))
+    )
     mirror, clock = MirrorOf(), FakeClock()
     mirror.after_batch = lambda action: None
     mirror.value = lambda key: mirror.rows[key][0] if key in mirror.rows else None
-    board, owner = Board(mirror), SimpleNamespace(outcomes=lambda message: None)
+    registry, owner = JobRegistry(mirror), SimpleNamespace(outcomes=lambda message: None)
     leadership = Led()
-    steward = Steward(settings, mirror, board, None, leadership, owner, None, None, clock)
-    steward._leading, steward._first_epoch = True, 3
-    steward._plan_scheduled = False
-    steward.book.types = {"small": shape()}
+    manager = FleetManager(settings, mirror, registry, None, leadership, owner, None, None, clock)
+    manager._leading, manager._first_epoch = True, 3
+    manager._plan_scheduled = False
+    manager.inventory.types = {"small": shape()}
     for i in range(MACHINES):
         name = f"vm-{i:06d}"
-        steward.book.machines[name] = Machine(
+        manager.inventory.machines[name] = Machine(
             name, "small", "a", False, "up", 0, 0, "x", hears=True, seen_us=clock.us, tenure=1
         )
-    offers, counts = steward._offers, SimpleNamespace(built=0, plans=0)
+    offers, counts = manager._offers, SimpleNamespace(built=0, plans=0)
 
     def build(machine, inner=offers._build):
         counts.built += 1
         return inner(machine)
 
     offers._build = build
-    steward._poke = lambda: setattr(counts, "plans", counts.plans + 1)
+    manager._poke = lambda: setattr(counts, "plans", counts.plans + 1)
     return SimpleNamespace(
-        steward=steward, mirror=mirror, board=board, offers=offers, clock=clock, counts=counts,
+        manager=manager,
+        mirror=mirror,
+        registry=registry,
+        offers=offers,
+        clock=clock,
+        counts=counts,
         leadership=leadership,
-    )  # fmt: skip
+    )
 
 
 def report(led, index, tick, *tasks):
     name = f"vm-{index:06d}"
     future = asyncio.get_running_loop().create_future()
     told = Report(name, "1.2.3.4:5", "small", "a", 1, tick, 3, tasks=tasks)
-    led.steward._report_in(ReportIn(told, future))
+    led.manager._report_in(ReportIn(told, future))
     assert future.result()[0] == 200
 
 
@@ -101,7 +107,7 @@
         assert led.offers.rooms() and led.counts.built == led.counts.plans == 0
         # One that has changed costs one.
         submit(led.mirror, tasks=1)
-        place(led.mirror, led.board, 1, "vm-000007")
+        place(led.mirror, led.registry, 1, "vm-000007")
         led.offers.rooms()
         led.counts.built = 0
         report(led, 7, 4, TaskReport("j-000001/0", 1, "running"))
@@ -130,82 +136,88 @@
 
 def test_a_zone_that_was_cut_off_is_given_time_to_come_back(led):
     """Released in the second in which their cut healed: 250 machines, tasks and all."""
-    steward, clock = led.steward, led.clock
-    zone = steward._settings.zone
+    manager, clock = led.manager, led.clock
+    zone = manager._settings.zone
     released = []
-    steward.cloud = SimpleNamespace(release=lambda names, served: released.extend(names))
-    for machine in steward.book.machines.values():
+    manager.cloud = SimpleNamespace(release=lambda names, served: released.extend(names))
+    for machine in manager.inventory.machines.values():
         machine.zone = zone
-    steward._since_us = steward._listening_us = clock.us - 60 * S
+    manager._since_us = manager._listening_us = clock.us - 60 * S
     led.leadership.present = set()
-    silent_us = steward._suspects.patience.lease_us + steward._suspects.patience.silent_us + 2 * S
+    silent_us = (
+        manager._failure_detector.silence_limits.lease_us
+        + manager._failure_detector.silence_limits.silent_us
+        + 2 * S
+    )
     for _ in range(silent_us // S):
         clock.us += S
-        steward._suspect()
+        manager._suspect()
     led.leadership.present = {zone}
-    machines = list(steward.book.machines.values())
+    machines = list(manager.inventory.machines.values())
     for second in range(6):
         clock.us += S
         # Most are heard again before the last one.
         for machine in machines[: MACHINES * (second + 1) // 7]:
             machine.seen_us = clock.us
-        steward._suspect()
+        manager._suspect()
     assert released == []
     for _ in range(4):
         clock.us += S
-        steward._suspect()
+        manager._suspect()
     assert len(released) == MACHINES - MACHINES * 6 // 7
 
 
 def test_a_leader_that_turned_reports_away_hears_the_machines_before_it_releases_any(led):
     """Seen on a recorded day: an outage of 52 s ended, and in that second all were released."""
-    steward, clock, released = led.steward, led.clock, []
-    steward.cloud = SimpleNamespace(release=lambda names, served: released.extend(names))
+    manager, clock, released = led.manager, led.clock, []
+    manager.cloud = SimpleNamespace(release=lambda names, served: released.extend(names))
     led.leadership.may_answer = lambda: False
     for _ in range(104):
         clock.us += S // 2
-        steward._tick()
+        manager._tick()
     led.leadership.may_answer = lambda: True
     clock.us += S // 2
-    steward._suspect()
+    manager._suspect()
     assert released == []
     clock.us += 8 * S
-    machines = list(steward.book.machines.values())
+    machines = list(manager.inventory.machines.values())
     for machine in machines[5:]:
         machine.seen_us = clock.us
-    steward._suspect()
+    manager._suspect()
     assert sorted(released) == [machine.name for machine in machines[:5]]
 
 
 def test_a_leader_that_begins_while_the_cloud_is_down_uses_the_room_there_is_but_rents_none(led):
-    steward = led.steward
+    manager = led.manager
     shapes = Raw(records.encode([shape(price=0.0, spot_price=0.0)]))
     led.mirror.commit(Change({}, {records.TYPES_KEY: shapes}))
-    steward.book.types = {}
-    steward._listed = steward._first = True
-    steward._know_types()
-    steward._offers.refresh()
-    assert len(steward._offers.rooms()) == MACHINES
-    assert not steward._ready_to_rent()
-    steward._typed((shape(),))
-    assert steward._ready_to_rent()
+    manager.inventory.types = {}
+    manager._listed = manager._first = True
+    manager._know_types()
+    manager._offers.refresh()
+    assert len(manager._offers.rooms()) == MACHINES
+    assert not manager._ready_to_rent()
+    manager._typed((shape(),))
+    assert manager._ready_to_rent()
 
 
 def test_in_an_outage_a_worker_that_the_leader_did_not_answer_is_kept_when_it_comes_back(led):
     """A leader lost its workers while the state service was down: every lease ran out."""
-    steward, leadership = led.steward, led.leadership
-    steward._leading = False
+    manager, leadership = led.manager, led.leadership
+    manager._leading = False
     leadership.leads, leadership.leader, leadership.may_keep = (
-        lambda: False, lambda: "b", lambda: True,
-    )  # fmt: skip
+        lambda: False,
+        lambda: "b",
+        lambda: True,
+    )
     outage = True
-    steward.nobody_served = lambda: outage
+    manager.nobody_served = lambda: outage
 
     async def run():
         async def answer(epoch=3):
             future = asyncio.get_running_loop().create_future()
             told = Report("vm-000001", "1.2.3.4:5", "small", "a", 1, 9, epoch)
-            steward._report_in(ReportIn(told, future))
+            manager._report_in(ReportIn(told, future))
             return (await future)[0]
 
         nonlocal outage
@@ -219,7 +231,7 @@
         outage = False
         assert await answer() == 421
         outage = True
-        led.clock.us += steward._lease_us + S
+        led.clock.us += manager._lease_us + S
         assert await answer() == 421
 
     asyncio.run(run())
--- a/tests/test_suspicion.py
+++ b/tests/test_silence.py
@@ -1,10 +1,10 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from mosswalk.fleet.suspicion import Patience, quiet_zones, taken, to_release
+from mosswalk.fleet.silence import SilenceLimits, quiet_zones, reclaimed, to_release
 
 S = 1_000_000
-PATIENCE = Patience(quiet_us=4 * S, silent_us=7 * S, lease_us=16 * S, kept_us=38 * S)
+PATIENCE = SilenceLimits(quiet_us=4 * S, silent_us=7 * S, lease_us=16 * S, kept_us=38 * S)
 
 
 def release(silences, cut_off=(), zone=lambda name: "z"):
@@ -40,9 +40,11 @@
 
 
 def test_a_machine_whose_notice_is_over_need_miss_one_report_only():
-    assert taken(3 * S, 10 * S, 11 * S, PATIENCE)
-    assert not taken(3 * S, 12 * S, 11 * S, PATIENCE) and not taken(1 * S, 10 * S, 11 * S, PATIENCE)
-    assert not taken(6 * S, None, 11 * S, PATIENCE)
+    assert reclaimed(3 * S, 10 * S, 11 * S, PATIENCE)
+    assert not reclaimed(3 * S, 12 * S, 11 * S, PATIENCE) and not reclaimed(
+        1 * S, 10 * S, 11 * S, PATIENCE
+    )
+    assert not reclaimed(6 * S, None, 11 * S, PATIENCE)
 
 
 def test_a_cut_is_seen_by_zone_and_outlasts_those_who_may_keep_it_alive():
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -6,8 +6,8 @@
 from hypothesis import strategies as st
 
 from mosswalk.config.sockets import sockets
-from mosswalk.fleet.book import Book, Machine
-from mosswalk.fleet.pushes import Pushes
+from mosswalk.fleet.command_sender import CommandSender
+from mosswalk.fleet.inventory import Inventory, Machine
 from tests.standins import FakeClock
 
 
@@ -21,23 +21,23 @@
     """Two sockets a machine, as it was, are 1800 at 900 machines, of 1551 that there are."""
 
     async def run():
-        book = Book()
+        inventory = Inventory()
         budget = sockets(1551)
-        pushes = Pushes(
-            book, None, None, None, lambda *_: False, lambda _: None, lambda _: None,
+        pushes = CommandSender(
+            inventory, None, None, None, lambda *_: False, lambda _: None, lambda _: None,
             FakeClock(), budget.workers,
         )  # fmt: skip
         for count in (300, 600, 900, 1100):
             for i in range(count):
                 name = f"vm-{i:06d}"
-                book.machines.setdefault(
+                inventory.machines.setdefault(
                     name, Machine(name, "small", "a", False, "up", 0, 0)
                 )  # fmt: skip
-            kept = sum(pushes._may_keep(name) for name in book.machines)
+            kept = sum(pushes._may_keep(name) for name in inventory.machines)
             assert kept == min(count, max(0, budget.workers - count))
-        for name in list(book.machines)[200:]:
-            book.remove(name)
+        for name in list(inventory.machines)[200:]:
+            inventory.remove(name)
             pushes.forget(name)
-        assert all(pushes._may_keep(name) for name in book.machines)
+        assert all(pushes._may_keep(name) for name in inventory.machines)
 
     asyncio.run(run())
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -18,9 +18,9 @@
 
 from mosswalk.config import StateLimits
 from mosswalk.store import records
+from tests.loopback import LoopbackCluster
 from tests.standins import spec
 from tests.test_cluster import Users, until
-from tests.world import World
 
 ROOT = Path(__file__).resolve().parent.parent
 QUICK = """
@@ -52,7 +52,7 @@
 class Processes:
     """Controllers of the production version."""
 
-    def __init__(self, world: World, checkout: Path) -> None:
+    def __init__(self, world: LoopbackCluster, checkout: Path) -> None:
         self.world = world
         self.checkout = checkout
         self.running: dict[str, subprocess.Popen] = {}
@@ -99,7 +99,7 @@
 def mixed(test, checkout):
     async def run():
         async with AsyncExitStack() as stack:
-            world = World()
+            world = LoopbackCluster()
             # The new version keeps to the limits of later from the start.
             world.limits = StateLimits(5000.0, 500.0, 2.0, 5)
             await world.start(stack, start_controllers=False)
--- a/tests/test_versions.py
+++ b/tests/test_versions.py
@@ -29,6 +29,8 @@
     "TaskChunk": b'{"d":"ff","a":[[300,12,"vm-000009",1,7]]}',
     "FinalRecord": b'{"p":"withdrawn","d":3}',
 }
+# What the version before gangs calls what has been renamed since.
+NAMES_THEN = {"PeerStatus": "Sight"}
 SENT = {
     "Offer": peers.Offer(
         3,
@@ -37,7 +39,7 @@
     ),
     "OfferAnswer": peers.OfferAnswer(12, 3),
     "Outcomes": peers.Outcomes(3, (peers.Outcome("j-000001/2", 4, "vm-1", "lost"),)),
-    "Sight": peers.Sight(True, 4),
+    "PeerStatus": peers.PeerStatus(True, 4),
     "Withdrawals": peers.Withdrawals((peers.Withdrawal("j-000001", b"{}", 8),)),
     "PollAnswer": peers.PollAnswer(200, b"{}"),
 }
@@ -53,7 +55,7 @@
 @pytest.mark.parametrize("name", SENT)
 def test_messages_between_controllers_keep_their_bytes(name):
     body = msgspec.msgpack.encode(SENT[name])
-    read = msgspec.msgpack.decode(body, type=getattr(production, name))
+    read = msgspec.msgpack.decode(body, type=getattr(production, NAMES_THEN.get(name, name)))
     assert msgspec.msgpack.encode(read) == body
     assert msgspec.msgpack.decode(body, type=getattr(peers, name)) == SENT[name]
 
@@ -116,35 +118,35 @@
 
 
 def test_groups_wait_for_the_upgrade_and_are_told_so_at_once():
-    from tests.region import Region
+    from tests.simulation import Simulation
     from tests.virtual import play
 
     async def day() -> None:
-        region = Region(1)
+        region = Simulation(1)
         region.start()
         await asyncio.sleep(4.0)
         gang = spec("j-000001", kind="group", tasks=2)
         controller = next(iter(region.controllers.values()))[0]
         assert controller.leadership.gangs_allowed()
-        controller.desk.gangs_allowed = lambda: False
-        reply = await controller.desk.submit(msgspec.json.encode(gang))
+        controller.job_service.gangs_allowed = lambda: False
+        reply = await controller.job_service.submit(msgspec.json.encode(gang))
         assert reply.status == 503 and reply.retry_after_s
         # A job that is known is told of all the same, however it is submitted again.
         key = records.job_key(gang.id)
         value = Raw(records.encode(new_record(gang, 1, 8)))
         region.state.store.rows[key] = (bytes(value), 1, None)
-        assert (await controller.desk.submit(msgspec.json.encode(gang))).status == 200
+        assert (await controller.job_service.submit(msgspec.json.encode(gang))).status == 200
 
     play(day())
 
 
 def test_a_controller_that_shows_the_old_version_holds_the_upgrade_back():
     """One of three is old for a while; after it, the record stays through restarts of all."""
-    from tests.region import Region
+    from tests.simulation import Simulation
     from tests.virtual import play
 
     async def day() -> None:
-        region = Region(2)
+        region = Simulation(2)
         region.start()
         region.kill_controller("moss-2")
         lease = region.state.store.grant()
@@ -172,7 +174,7 @@
         await region.until(lambda: region.leader(), 20.0)
         assert region.leader() == region.names[0] and version(region) == GANG_VERSION
 
-    def version(region: Region) -> int:
+    def version(region: Simulation) -> int:
         return records.decode_term(region.state.store.rows[records.TERM_KEY][0]).version
 
     play(day())
--- a/tests/test_withdrawing.py
+++ b/tests/test_withdrawing.py
@@ -5,16 +5,16 @@
 
 import pytest
 
-from mosswalk.fleet.book import Machine
+from mosswalk.fleet.inventory import Machine
 from mosswalk.fleet.upkeep import Upkeep
-from mosswalk.peers.news import WithdrawalNews
+from mosswalk.peers.withdrawal_broadcast import WithdrawalBroadcast
 from mosswalk.store import records
 from mosswalk.store.client import ConflictError
 from mosswalk.store.records import Attempt, TaskChunk
 from mosswalk.wire.peers import Withdrawal, Withdrawals
-from tests.days import Trouble, play_day
-from tests.outside import LEASE_S
-from tests.region import CANCEL_S, Region
+from tests.fault_injection import Fault, play_day
+from tests.simulated_services import LEASE_S
+from tests.simulation import CANCEL_S, Simulation
 from tests.standins import FakeClock, spec
 from tests.virtual import play
 
@@ -26,7 +26,7 @@
     left_s: list[float] = []
 
     async def run():
-        region = Region(5)
+        region = Simulation(5)
         region.start()
         await asyncio.sleep(4)
         await region.submit(spec(tasks=6), 300.0)
@@ -34,7 +34,7 @@
         leader = region.leader()
         if not tell:
             for controller, _ in region.controllers.values():
-                controller.desk.on_withdrawn = lambda _: None
+                controller.job_service.on_withdrawn = lambda _: None
         region.state.refused.add(leader)
         other = next(n for n in region.names if n != leader)
         await region.withdraw("j-000001", other)
@@ -57,7 +57,7 @@
 @pytest.mark.parametrize("seed", range(3))
 def test_a_machine_that_hangs_with_withdrawn_tasks_is_released_whoever_leads(seed):
     troubles = [
-        Trouble(40, "cancel_and_hang", 70, seed), Trouble(41, "leaders_change", 60)
+        Fault(40, "cancel_and_hang", 70, seed), Fault(41, "leaders_change", 60)
     ]  # fmt: skip
     region = play_day(seed, troubles)
     assert region.broken == [] and region.counts["withdrawn"]
@@ -73,12 +73,14 @@
                 if not next(answers):
                     raise OSError
 
-        news = WithdrawalNews(["moss-1"], Peers(), 40 * S, clock, random.Random(1))
-        work = asyncio.ensure_future(news.run())
-        news.tell(Withdrawal("j-000001", b"{}", 7))
+        withdrawal_broadcast = WithdrawalBroadcast(
+            ["moss-1"], Peers(), 40 * S, clock, random.Random(1)
+        )
+        work = asyncio.ensure_future(withdrawal_broadcast.run())
+        withdrawal_broadcast.tell(Withdrawal("j-000001", b"{}", 7))
         await asyncio.sleep(2)
         assert told == [["j-000001"]] * 2
-        news.tell(Withdrawal("j-000002", None, 8))
+        withdrawal_broadcast.tell(Withdrawal("j-000002", None, 8))
         await asyncio.sleep(0.1)
         clock.us += 41 * S
         await asyncio.sleep(2)
@@ -90,20 +92,20 @@
 
 def test_late_news_of_a_job_that_is_over_does_not_bring_it_back():
     async def run():
-        region = Region(3)
+        region = Simulation(3)
         region.start()
         await asyncio.sleep(4)
         await region.submit(spec(tasks=2), 300.0)
         await region.until(lambda: region.on)
         told = []
         for controller, _ in region.controllers.values():
-            controller.desk.on_withdrawn = told.append
+            controller.job_service.on_withdrawn = told.append
         await region.withdraw("j-000001")
         await asyncio.sleep(20)
         controller = region.controllers[region.leader()][0]
-        assert "j-000001" not in controller.board.jobs
+        assert "j-000001" not in controller.registry.jobs
         controller.withdrawn_elsewhere(Withdrawals(tuple(told)))
-        assert len(told) == 1 and "j-000001" not in controller.board.jobs
+        assert len(told) == 1 and "j-000001" not in controller.registry.jobs
 
     play(run())
 
@@ -112,14 +114,14 @@
     """When all keys are read anew, a new job's chunks are seen before its header."""
 
     async def run():
-        region = Region(1)
+        region = Simulation(1)
         region.start()
         await asyncio.sleep(5)
         controller = region.controllers[region.leader()][0]
         chunk = TaskChunk("0", (Attempt(300, 1, "vm-1", 1, 1),))
         kept, gone = (records.chunk_key(f"j-00000{i}", 1) for i in (1, 2))
         for key in (kept, gone):
-            controller.board._chunk_changed(key, records.encode(chunk), 1)
+            controller.registry._chunk_changed(key, records.encode(chunk), 1)
         region.state.store.rows[records.job_key("j-000001")] = (b"{}", 3, None)
         deleted = []
 
@@ -132,7 +134,7 @@
 
         controller.writer.commit = commit
         upkeep = Upkeep(
-            controller.settings, controller.mirror, controller.board, controller.writer,
+            controller.settings, controller.mirror, controller.registry, controller.writer,
             controller.leadership,
         )  # fmt: skip
         await upkeep.clear_orphans()
@@ -148,25 +150,27 @@
     """An answer to the second would not tell that the first can't be carried out any more."""
 
     async def run():
-        region = Region(2)
+        region = Simulation(2)
         region.start()
         await asyncio.sleep(4)
         await region.submit(spec(tasks=1), 300.0)
         await region.until(lambda: region.on)
         controller = region.controllers[region.leader()][0]
-        (machine,) = (m for m in controller.steward.book.machines.values() if m.tasks)
+        (machine,) = (m for m in controller.manager.inventory.machines.values() if m.tasks)
         assert isinstance(machine, Machine)
         ((name, number),) = machine.tasks
-        job = controller.board.jobs["j-000001"]
+        job = controller.registry.jobs["j-000001"]
         (attempt,) = job.live()
         sent = []
-        controller.steward._pushes._post = lambda *args: sent.append(args) or asyncio.sleep(0)
+        controller.manager._command_sender._post = lambda *args: (
+            sent.append(args) or asyncio.sleep(0)
+        )
         machine.unanswered[(name, number)] = (controller.leadership.epoch(), machine.tenure)
-        controller.steward._attempt_appeared(machine.name, job, attempt)
+        controller.manager._attempt_appeared(machine.name, job, attempt)
         await asyncio.sleep(0.1)
         assert sent == []
         machine.unanswered.clear()
-        controller.steward._attempt_appeared(machine.name, job, attempt)
+        controller.manager._attempt_appeared(machine.name, job, attempt)
         await asyncio.sleep(0.1)
         assert len(sent) == 1
 
