--- a/mosswalk/api/jobs.py
+++ b/mosswalk/api/jobs.py
@@ -270,11 +270,7 @@
             except ConflictError:
                 # Its owner wrote meanwhile: look again.
                 continue
-            for key, value in change.puts.items():
-                if key.startswith(records.MIRROR):
-                    self._mirror.apply_read(key, bytes(value), revision)
-            for key in change.deletes:
-                self._mirror.apply_read(key, None, revision)
+            self._mirror.apply_change(change, revision)
             self._mirror.batch_done()
             # Without a record the job was over at once.
             left = change.puts.get(records.job_key(job_id))
--- a/mosswalk/fleet/manager.py
+++ b/mosswalk/fleet/manager.py
@@ -552,11 +552,12 @@
             log.info("was stopped for %.1f s", (now_us - self._ticked_us) / SECOND_US)
             self._since_us = self._listening_us = now_us
         self._ticked_us = now_us
-        if not self._leadership.may_answer():
+        answers = self._leadership.may_answer()
+        if not answers:
             # We turn reports away ourselves. Seen on a recorded day: when the state service came
             # back after 52 s, every machine was released as silent in that second.
             self._listening_us = now_us
-        if self.cloud is None or not self._leadership.may_answer():
+        if self.cloud is None or not answers:
             return
         types_us = _TYPES_US if self._priced else 2 * SECOND_US
         if now_us - self._asked_types_us > types_us:
--- a/mosswalk/leadership/actor.py
+++ b/mosswalk/leadership/actor.py
@@ -68,6 +68,9 @@
         self.present: dict[str, Presence] = {}
         self._controllers = (self.node, *(peer.host_name for peer in settings.known))
         self._runs_since_us = 0
+        # What has been logged since the term was last changed.
+        self._logged_epoch = 0
+        self._logged: set[str] = set()
         self._outbid = 0
         self._wanted_above = 0
         self._hands_over = False
@@ -275,12 +278,22 @@
             try:
                 await self._consider()
             except ConflictError as conflict:
-                log.info("term not changed: %s", conflict)
+                self._log_once(f"term not changed: {conflict}")
                 await asyncio.sleep(0.1)
             except (RefusedError, UnknownOutcomeError, NoLeaseError) as error:
-                log.info("term not changed: %s", error)
+                self._log_once(f"term not changed: {error}")
                 await asyncio.sleep(0.3 * self._rng.uniform(0.8, 1.2))
 
+    def _log_once(self, line: str) -> None:
+        """Tell what is tried again and again, for as long as an outage lasts, once a term."""
+        epoch = self.epoch()
+        if epoch != self._logged_epoch:
+            self._logged_epoch = epoch
+            self._logged.clear()
+        level = logging.DEBUG if line in self._logged else logging.INFO
+        self._logged.add(line)
+        log.log(level, "%s", line)
+
     async def _consider(self) -> None:
         now_us = self._clock.now_us()
         mine = self._lead is not None and self._lead.node == self.node
@@ -354,7 +367,7 @@
             wire.Write(key=records.LEADER_KEY, value=self._me(), lease=self._lease),
             wire.Write(key=records.TERM_KEY, value=Raw(records.encode_term(term))),
         )
-        log.info("standing for term %d: %s", term.term, why)
+        self._log_once(f"standing for term {term.term}: {why}")
         revision = await self._client.commit(wire.Transaction(guards, writes))
         # Wait for the mirror to show it, so that the same term is not written twice.
         for _ in range(100):
--- a/mosswalk/metrics.py
+++ b/mosswalk/metrics.py
@@ -20,6 +20,8 @@
         machines = c.manager.inventory.machines.values()
         yield "leads", "1 if this controller leads", float(c.leadership.leads())
         yield "term", "The current term", float(c.leadership.epoch())
+        version = c.leadership.term.version if c.leadership.term is not None else 0
+        yield "version", "What all controllers can do: 2 includes gangs", float(version)
         yield "jobs_open", "Jobs that are not over", float(len(c.registry.jobs))
         yield (
             "attempts_live",
--- a/mosswalk/placement/owner.py
+++ b/mosswalk/placement/owner.py
@@ -397,11 +397,7 @@
         except (RefusedError, UnknownOutcomeError) as error:
             log.info("placing commit given up: %s", error)
             return None
-        for key, value in change.puts.items():
-            if key.startswith(records.MIRROR):
-                self._mirror.apply_read(key, bytes(value), revision)
-        for key in change.deletes:
-            self._mirror.apply_read(key, None, revision)
+        self._mirror.apply_change(change, revision)
         return revision
 
     def _forget(self) -> None:
--- a/mosswalk/store/mirror.py
+++ b/mosswalk/store/mirror.py
@@ -10,6 +10,7 @@
 import logging
 import random
 from collections.abc import Callable
+from typing import TYPE_CHECKING
 
 import msgspec
 
@@ -22,6 +23,9 @@
     UnknownOutcomeError,
 )
 
+if TYPE_CHECKING:
+    from mosswalk.store.writer import Change
+
 log = logging.getLogger(__name__)
 
 _HOLD_MS = 2000
@@ -109,6 +113,14 @@
         if version > self.revision:
             self.apply(key, value, version)
 
+    def apply_change(self, change: Change, revision: int) -> None:
+        """Put in a change that has been committed."""
+        for key, value in change.puts.items():
+            if key.startswith(records.MIRROR):
+                self.apply_read(key, bytes(value), revision)
+        for key in change.deletes:
+            self.apply_read(key, None, revision)
+
     def batch_done(self) -> None:
         """Tell those who wait for whole batches."""
         for action in self._after_batch:
