--- a/mosswalk/fleet/inventory.py
+++ b/mosswalk/fleet/inventory.py
@@ -148,6 +148,26 @@
             self._gone.popitem(last=False)
         return self.machines.pop(name, None)
 
+    def adopt(
+        self,
+        name: str,
+        kind: str,
+        zone: str,
+        spot: bool,
+        phase: Literal["booting", "up"],
+        now_us: int,
+    ) -> Machine:
+        """Add a machine that this leader has not rented."""
+        machine = Machine(name, kind, zone, spot, phase, now_us, now_us)
+        machine.seen_us = now_us
+        self.machines[name] = machine
+        return machine
+
+    def note_rumour(self, name: str, now_us: int) -> None:
+        """A record names a machine that nothing else has told of."""
+        if not self.gone(name) and name not in self.machines:
+            self.adopt(name, "", "", False, "up", now_us).rumoured = True
+
     def zone_of(self) -> dict[str, str]:
         """The zones of all machines that are more than a rumour."""
         return {m.name: m.zone for m in self.machines.values() if not m.rumoured}
--- a/mosswalk/fleet/manager.py
+++ b/mosswalk/fleet/manager.py
@@ -8,7 +8,7 @@
 
 import asyncio
 import logging
-from collections.abc import Awaitable, Callable, Iterable
+from collections.abc import Awaitable, Iterable
 from typing import Protocol
 
 import aiohttp
@@ -21,6 +21,7 @@
 from mosswalk.factory.loop import GiveBack, WaitingTasks
 from mosswalk.fleet.command_sender import CommandSender
 from mosswalk.fleet.failure_detector import TAKEOVER_US, FailureDetector
+from mosswalk.fleet.follower_reports import FollowerReports
 from mosswalk.fleet.inventory import Inventory, Machine
 from mosswalk.fleet.messages import (
     Message,
@@ -35,11 +36,12 @@
 from mosswalk.fleet.offers import Offers
 from mosswalk.fleet.outcome_sender import OutcomeLink, OutcomeSender
 from mosswalk.fleet.preempting import Preemptor
-from mosswalk.fleet.recent_workers import RecentWorkers, cut_from_workers
+from mosswalk.fleet.recent_workers import cut_from_workers
 from mosswalk.fleet.renting import FleetScaler
-from mosswalk.fleet.report_evaluation import evaluate_report, kills_of_closed
+from mosswalk.fleet.report_evaluation import evaluate_report
 from mosswalk.fleet.stale_starts import StaleStarts
 from mosswalk.fleet.stopping import StopRegistry
+from mosswalk.fleet.task_failures import TaskFailures
 from mosswalk.fleet.upkeep import Upkeep
 from mosswalk.fleet.withdrawing import WithdrawnTasks
 from mosswalk.jobs.registry import JobRegistry
@@ -51,7 +53,7 @@
 from mosswalk.store.writer import GroupWriter
 from mosswalk.wire.cloud import MachineType
 from mosswalk.wire.peers import Offer, OfferAnswer, Outcome
-from mosswalk.wire.workers import Order, Redirect, Report, ReportAnswer
+from mosswalk.wire.workers import Order, Report, ReportAnswer
 
 log = logging.getLogger(__name__)
 
@@ -84,9 +86,9 @@
 
 
 class FleetManager(Actor[Message]):
-    """See the module."""
+    """Owns what the leader knows of the fleet; each part of its work is a module of its own."""
 
-    name = "steward"
+    name = "fleet manager"
 
     def __init__(
         self,
@@ -111,11 +113,10 @@
         self._clock = clock
         workers = settings.params.workers
         self._lease_us = to_us(workers.lease_s)
-        self._errors_to_distrust = settings.tuning.fleet.errors_to_distrust
         self._period_us = to_us(settings.tuning.factory.period_s)
         self._list_lag_us = to_us(settings.params.cloud.list_lag_s)
         self.inventory = Inventory()
-        self._failed_on: dict[str, set[str]] = {}
+        self._failures = TaskFailures(settings.tuning.fleet.errors_to_distrust)
         self._scaler = FleetScaler(settings, self.inventory, registry, clock)
         self._offers = Offers(
             settings,
@@ -125,7 +126,7 @@
             leadership,
             self._scaler,
             clock,
-            self._failed_on,
+            self._failures.machines_by_job,
         )
         self._preemptor = Preemptor(settings, self.inventory, registry, self._offers, clock)
         self._consolidator = Consolidator(self.inventory, registry, self._offers, clock)
@@ -180,15 +181,7 @@
             self._failure_detector.silence_limits,
             clock,
         )
-        # Long enough that the leader, who asks each second or two, misses none of them.
-        self.recent_workers = RecentWorkers(2 * SECOND_US + to_us(workers.report_s), clock)
-        # Whether no leader can be reached from here, nor anybody who could name one.
-        self.left_alone: Callable[[], bool] = lambda: False
-        # Whether the state service serves nobody who can be reached.
-        self.nobody_served: Callable[[], bool] = lambda: False
-        # Workers sent to the leader within a lease: one that comes back was not answered there.
-        self._sent_on = RecentWorkers(self._lease_us, clock)
-        self._keeps = False
+        self.follower_reports = FollowerReports(workers, registry, leadership, clock)
         # Within this time a machine that is well reports, give or take what reports vary by.
         self._report_us = to_us(1.3 * workers.report_s)
         registry.on_attempt.append(self._attempt_appeared)
@@ -260,7 +253,7 @@
             self._know_types()
             self._asked_list_us = self._asked_types_us = -_TYPES_US
             for machine in list(self._registry.by_machine):
-                self._rumour(machine)
+                self.inventory.note_rumour(machine, self._clock.now_us())
             self._stops.reset()
             self._orphans_us = -_ORPHANS_US
             self._tick()
@@ -280,12 +273,6 @@
 
     # Reports and orders.
 
-    def _refusal(self) -> tuple[int, bytes]:
-        leader = self._leadership.leader()
-        if leader is not None and leader != self._leadership.node:
-            return 421, msgspec.json.encode(Redirect(leader))
-        return 503, b'{"error":"not entitled to answer"}'
-
     def _report_in(self, message: ReportIn) -> None:
         if message.answer.done():
             return
@@ -294,31 +281,10 @@
         self._leadership.outbid(report.epoch)
         if self._leading and self._leadership.may_answer():
             orders = self._take_report(report, in_answer=True)
-        elif self._may_keep(report):
-            orders = kills_of_closed(report, self._registry.jobs)
+            body = msgspec.json.encode(ReportAnswer(self._leadership.epoch(), tuple(orders)))
+            message.answer.set_result((200, body))
         else:
-            self.recent_workers.record(report.machine)
-            self._sent_on.record(report.machine)
-            message.answer.set_result(self._refusal())
-            return
-        body = msgspec.json.encode(ReportAnswer(self._leadership.epoch(), tuple(orders)))
-        message.answer.set_result((200, body))
-
-    def _may_keep(self, report: Report) -> bool:
-        """Whether to keep a machine's tasks alive although another controller leads.
-
-        In a zone that is cut off nobody else can; and in an outage of the state service a leader
-        that the workers can't reach is not able to hand over. A worker that has seen a higher
-        epoch would drop our answer and stay with us until its lease ends, so it is sent on.
-        """
-        may_keep = self.nobody_served() and self._leadership.may_keep()
-        keeps = may_keep and (self.left_alone() or self._sent_on.knows(report.machine))
-        if keeps and not self._keeps:
-            log.info("workers are kept alive here")
-        elif self._keeps and not may_keep:
-            log.info("workers are kept alive no more")
-        self._keeps = may_keep and (keeps or self._keeps)
-        return keeps and report.epoch <= self._leadership.epoch()
+            message.answer.set_result(self.follower_reports.answer(report))
 
     def cut_from_workers(self, elsewhere: int) -> bool:
         """Whether the workers can't reach this leader, but turn to others."""
@@ -342,7 +308,9 @@
             log.info(
                 "machine %s (%s, %s) reports unexpected", report.machine, report.type, report.zone
             )
-            machine = self._adopt(report.machine, report.type, report.zone, report.spot, "booting")
+            machine = self.inventory.adopt(
+                report.machine, report.type, report.zone, report.spot, "booting", now_us
+            )
         if not machine.newer(report):
             # A late report: what it lists is as old as it is.
             return []
@@ -466,18 +434,8 @@
                 machine.used_image(job.spec.image, job.spec.image_gb, shape.cache_gb)
             if task.phase != "exited" or split is None:
                 continue
-            if task.cause == "done":
-                machine.errors = 0
-            elif task.cause == "error":
-                failed_on = self._failed_on.setdefault(split[0], set())
-                failed_on.add(machine.name)
-                # A job that fails wherever it goes says nothing of the machine.
-                if len(failed_on) <= 2:
-                    machine.errors += 1
-                    log.info(
-                        "machine %s: %s failed, %d errors", machine.name, task.task, machine.errors
-                    )
-        if machine.errors >= self._errors_to_distrust and not machine.distrusted:
+            self._failures.note_exit(machine, split[0], task)
+        if self._failures.distrusts(machine) and not machine.distrusted:
             machine.distrusted = True
             self._release(machine, "fails its tasks")
 
@@ -568,7 +526,7 @@
             self.spawn(self.cloud.refresh_list())
         for name in list(self._registry.by_machine):
             if name not in self.inventory.machines:
-                self._rumour(name)
+                self.inventory.note_rumour(name, now_us)
         self._offers.refresh()
         self._draw()
         for machine, why in self._withdrawn_tasks.overdue(self._listening_us):
@@ -578,8 +536,7 @@
         self._stale_starts.check()
         self._stops.forget_settled()
         self._save_gangs()
-        for job_id in [j for j in self._failed_on if j not in self._registry.jobs]:
-            del self._failed_on[job_id]
+        self._failures.forget_all_but(self._registry.jobs)
         if now_us - self._orphans_us > _ORPHANS_US:
             self._orphans_us = now_us
             self.spawn(self._upkeep.clear_orphans())
@@ -604,22 +561,6 @@
             return True
         return self._clock.now_us() - self._since_us > max(4 * SECOND_US, self._list_lag_us)
 
-    def _rumour(self, name: str) -> None:
-        """A record names a machine that nothing else has told of."""
-        if self.inventory.gone(name) or name in self.inventory.machines:
-            return
-        machine = self._adopt(name, "", "", False, "up")
-        machine.rumoured = True
-
-    def _adopt(self, name: str, kind: str, zone: str, spot: bool, phase: str) -> Machine:
-        now_us = self._clock.now_us()
-        machine = Machine(
-            name, kind, zone, spot, "up" if phase == "up" else "booting", now_us, now_us
-        )
-        machine.seen_us = now_us
-        self.inventory.machines[name] = machine
-        return machine
-
     def _draw(self) -> None:
         """Draw machines over that report to the leader before us.
 
@@ -661,14 +602,22 @@
             machine = self.inventory.machines.get(row.name)
             if row.phase == "failed":
                 if machine is None:
-                    machine = self._adopt(row.name, row.type, row.zone, row.spot, "booting")
+                    machine = self.inventory.adopt(
+                        row.name, row.type, row.zone, row.spot, "booting", now_us
+                    )
                 self._release(machine, "failed")
                 continue
             if machine is None:
                 # One that runs may have had its say to the leader before us; it is not late in
                 # coming up, and if it is dead its silence will show.
-                phase = "up" if row.phase == "running" else "booting"
-                machine = self._adopt(row.name, row.type, row.zone, row.spot, phase)
+                machine = self.inventory.adopt(
+                    row.name,
+                    row.type,
+                    row.zone,
+                    row.spot,
+                    "up" if row.phase == "running" else "booting",
+                    now_us,
+                )
                 machine.rented_us = now_us - to_us(row.held_s)
                 log.info(
                     "machine %s (%s, %s) listed, not known: taken over",
--- a/mosswalk/service.py
+++ b/mosswalk/service.py
@@ -114,8 +114,9 @@
             rng,
         )
         self.job_service.on_withdrawn = self.withdrawal_broadcast.tell
-        self.manager.left_alone = lambda: self.health.left_alone_by(self.leadership.leader())
-        self.manager.nobody_served = self.health.nobody_served
+        follower_reports = self.manager.follower_reports
+        follower_reports.left_alone = lambda: self.health.left_alone_by(self.leadership.leader())
+        follower_reports.nobody_served = self.health.nobody_served
         # Followers need not hear of each change at once: with many controllers, their watches
         # would take most of the requests that the state service allows.
         self.mirror.in_haste = lambda: self.leadership.leads() or self.leadership.owns_any()
@@ -126,7 +127,7 @@
         return self.mirror.loaded and not self.health.alone
 
     def _sees(self) -> PeerStatus:
-        return PeerStatus(self.health.fresh(), self.manager.recent_workers.count())
+        return PeerStatus(self.health.fresh(), self.manager.follower_reports.recent_workers.count())
 
     def withdrawn_elsewhere(self, message: Withdrawals) -> None:
         """Another controller has told users of withdrawals: put them into the mirror.
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -211,7 +211,7 @@
         lambda: True,
     )
     outage = True
-    manager.nobody_served = lambda: outage
+    manager.follower_reports.nobody_served = lambda: outage
 
     async def run():
         async def answer(epoch=3):
