--- a/tests/test_factory.py
+++ b/tests/test_factory.py
@@ -275,3 +275,21 @@
     assert to_empty(hosts, zones) is None
     hosts.append(host("vm-4", replicas("j-3", ["vm-4"] * 2), settled=False))
     assert to_empty(hosts, zones).room.machine == "vm-1"
+
+
+def test_scattered_room_holds_the_load_low_and_machines_are_rented_for_a_gang_all_the_same():
+    """DESIGN's limit: L is 0.65 of 1.02, and no machine has room for a task of the gang."""
+    gang = Job(new_record(spec(kind="group", tasks=2, cpus=3.0, spot=False), 0, 8), 1)
+    machines = [
+        MachineView(f"vm-{i}", ("small", "a", False), "up", 0, 0, True, None, 0.5)
+        for i in range(10)
+    ]
+    demand = sum(m.load for m in machines) + 2 * weight(gang, shape())
+    assert load_ratio(demand, len(machines)) < 0.7
+    waiting = [WaitingTasks(gang, 2, ZoneRule(False, 2), urgent=True)]
+    factory = Factory(FactoryTuning())
+    rents = []
+    for now_us in (0, S):
+        view = View(now_us, {"small": shape()}, machines, waiting, 10)
+        rents += [d for d in factory.decide(view) if isinstance(d, Rent)]
+    assert len(rents) == 2
--- a/tests/test_renting.py
+++ b/tests/test_renting.py
@@ -1,8 +1,11 @@
-from mosswalk.config import load
+from types import SimpleNamespace
+
+from mosswalk.config import Team, load
 from mosswalk.fleet.inventory import Inventory
 from mosswalk.fleet.renting import FleetScaler
 from tests.standins import FakeClock, shape
 from tests.test_config import write
+from tests.test_offers import made, submit
 from tests.test_placement import job
 
 S = 1_000_000
@@ -26,3 +29,24 @@
     assert not patient(0, priority="high")
     # Too close to its deadline for its estimate of 30 s and the boot.
     assert not patient(0, deadline_s=55.0) and patient(0, deadline_s=90.0)
+
+
+def test_machines_for_a_gang_in_one_zone_are_rented_in_one_zone_and_then_in_the_next(tmp_path):
+    _, mirror, registry, inventory, clock, settings = made(tmp_path, 3)
+    inventory.machines["vm-0002"].zone = "b"
+    submit(mirror, kind="group", tasks=6, one_zone=True, spot=False)
+    scaler = FleetScaler(settings, inventory, registry, clock)
+    queue = SimpleNamespace(team=Team("red"), stuck=[registry.jobs["j-000001"]])
+    scaler.note_stuck([queue])
+
+    def zones():
+        (tasks,) = scaler.waiting()
+        assert tasks.count == 6 and tasks.urgent
+        return [zone for zone in "ab" if tasks.rule.allows(zone)]
+
+    assert zones() == ["a"]
+    # It stays where it was, though more machines come up elsewhere, until it is the other's turn.
+    inventory.machines["vm-0001"].zone = "b"
+    assert zones() == ["a"]
+    clock.us += 31 * S
+    assert zones() == ["b"]
