A split job is unreadable to the version before gangs, which would drop its layout

By reading: an old controller that joins after the upgrade still answers users, and a withdrawal through it writes the job's header back. Of a split job it would have dropped the layout, and with it every attempt beyond the first record from what counts for the team's limit. The number of tasks a record is stored under another name then, so it can't decode the header and answers 503. The test fails with the old name.

--- a/mosswalk/jobs/layout.py
+++ b/mosswalk/jobs/layout.py
@@ -59,6 +59,8 @@
             parts[number] = tasks
     layout = job.version
     return Split(
-        structs.replace(job.record, chunk=size, layout=layout, tasks=parts.pop(0)),
+        structs.replace(
+            job.record, first_chunk=0, split_chunk=size, layout=layout, tasks=parts.pop(0)
+        ),
         {records.chunk_key(job.id, n, layout): tasks for n, tasks in parts.items()},
     )
--- a/mosswalk/store/records.py
+++ b/mosswalk/store/records.py
@@ -129,7 +129,10 @@
 
     spec: JobSpec = field(name="s")
     submitted_us: int = field(name="t")
-    chunk: int = field(name="c")
+    # How many tasks a record holds. A job that was split has its number under another name: a
+    # controller of the first version would write the header back without its layout, so it must
+    # not be able to read it.
+    first_chunk: int = field(name="c", default=0)
     phase: Literal["open", "withdrawn"] = field(name="p", default="open")
     next_attempt: int = field(name="n", default=1)
     done_count: int = field(name="k", default=0)
@@ -140,9 +143,15 @@
     # Which chunks are the job's: a job that is split anew gets chunks under new keys, named by
     # the header's version they were made from, and the header then names them.
     layout: int = field(name="l", default=0)
+    split_chunk: int = field(name="cs", default=0)
     # How far the current attempt of a gang has come; empty for other jobs.
     gang: GangPhase = field(name="g", default="")
 
+    @property
+    def chunk(self) -> int:
+        """How many tasks a record holds."""
+        return self.split_chunk or self.first_chunk
+
     def completed(self) -> bool:
         """Whether all its tasks are done, though some may not have been reported gone."""
         return self.done_count >= self.spec.tasks
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -4,6 +4,7 @@
 import copy
 import random
 
+import msgspec
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -18,6 +19,7 @@
 from mosswalk.store.records import RecordLimits
 from mosswalk.store.throttle import Throttle
 from mosswalk.store.writer import Change, GroupWriter
+from tests.production import records as production
 from tests.standins import LIMITS, FakeClock, Store, spec
 from tests.test_jobs import MirrorOf
 
@@ -86,6 +88,9 @@
     job = registry.jobs["j-000001"]
     assert (set(job.live()), list(job.pending()), registry.by_machine) == before
     assert not is_too_coarse(job, LOWERED) and seen == []
+    # The version before gangs would write it back without its layout: it can't read it.
+    with pytest.raises(msgspec.ValidationError):
+        production.decode(production.JobRecord, mirror.rows[key][0])
     # A controller that reads all of it anew sees the same.
     other = MirrorOf()
     again = JobRegistry(other)
