One way to end an attempt, one idle rank; names that a renaming had spoilt

Ending the tasks of a withdrawn job and of an ending gang asked the same four things before each kill, in two modules; the registry of stops does both now. The idle rank was worked out in two modules. In the command sender the table of messages had got the sender's own name by the mechanical renaming.

--- a/mosswalk/fleet/command_sender.py
+++ b/mosswalk/fleet/command_sender.py
@@ -58,7 +58,7 @@
         self._tell = tell
         self._spawn = spawn
         self._clock = clock
-        self._command_sender: dict[str, _Push] = {}
+        self._pushes: dict[str, _Push] = {}
         # Sockets for all that has to do with workers, and the machines to which a connection may
         # stay open: each machine holds one to us for its reports anyway.
         self._sockets = sockets
@@ -67,30 +67,30 @@
 
     def reset(self) -> None:
         """Forget all: another controller leads."""
-        self._command_sender.clear()
+        self._pushes.clear()
         self._kept.clear()
 
     def forget(self, name: str) -> None:
         """A machine is gone."""
-        self._command_sender.pop(name, None)
+        self._pushes.pop(name, None)
         self._kept.discard(name)
 
     def ended(self, name: str) -> None:
         """The message under way has ended, answered or not."""
-        push = self._command_sender.get(name)
+        push = self._pushes.get(name)
         if push is not None:
             push.in_flight = False
             self._schedule(name, push)
 
     def push(self, machine: Machine, order: Order) -> None:
         """Send an order soon."""
-        push = self._command_sender.setdefault(machine.name, _Push())
+        push = self._pushes.setdefault(machine.name, _Push())
         push.orders.append(order)
         self._schedule(machine.name, push)
 
     def probe(self, machine: Machine) -> None:
         """Have a machine see our epoch and say how it is, without waiting for its report."""
-        push = self._command_sender.setdefault(machine.name, _Push())
+        push = self._pushes.setdefault(machine.name, _Push())
         push.probe = True
         machine.probed_us = self._clock.now_us()
         self._schedule(machine.name, push)
@@ -120,7 +120,7 @@
             asyncio.get_running_loop().call_later(_PUSH_GAP_S, self._send, name)
 
     def _send(self, name: str) -> None:
-        push = self._command_sender.get(name)
+        push = self._pushes.get(name)
         machine = self._inventory.machines.get(name)
         if push is None:
             return
--- a/mosswalk/fleet/manager.py
+++ b/mosswalk/fleet/manager.py
@@ -177,7 +177,6 @@
             self.inventory,
             registry,
             leadership,
-            self._command_sender,
             self._failure_detector.silence_limits,
             clock,
         )
@@ -452,7 +451,7 @@
 
     def _withdrawn(self, job: Job) -> None:
         if self._leading:
-            self._withdrawn_tasks.end(job)
+            self._stops.end_withdrawn(job)
 
     def _gang_ending(self, job: Job) -> None:
         if self._leading:
--- a/mosswalk/fleet/preempting.py
+++ b/mosswalk/fleet/preempting.py
@@ -11,7 +11,7 @@
 from mosswalk.fleet.inventory import Inventory
 from mosswalk.fleet.offers import Offers
 from mosswalk.jobs.registry import AttemptKey, JobRegistry
-from mosswalk.jobs.state import PRIORITIES, Job, Usage
+from mosswalk.jobs.state import IDLE_RANK, Job, Usage
 from mosswalk.placement.capacity import Room
 from mosswalk.placement.preemption import Victim, choose_victims, worth_saving
 from mosswalk.placement.queues import fits_quota, shielded
@@ -19,7 +19,6 @@
 _MOST_VICTIMS = 16
 # How long a task takes to start once there is room, with its image at hand.
 _START_S = 0.5
-_IDLE_RANK = PRIORITIES.index("idle")
 
 
 class Preemptor:
@@ -75,7 +74,7 @@
             (w.job, w.count)
             for w in waiting
             if w.job.rank == 0
-            or (w.job.rank < _IDLE_RANK and (w.job.is_gang or self._guaranteed(w.job, usage)))
+            or (w.job.rank < IDLE_RANK and (w.job.is_gang or self._guaranteed(w.job, usage)))
         ]
         if not stuck:
             return []
--- a/mosswalk/fleet/renting.py
+++ b/mosswalk/fleet/renting.py
@@ -22,13 +22,12 @@
 from mosswalk.fleet.inventory import Inventory, Machine
 from mosswalk.jobs.admission import fits_type
 from mosswalk.jobs.registry import JobRegistry
-from mosswalk.jobs.state import PRIORITIES, Job, Usage, milli_room
+from mosswalk.jobs.state import IDLE_RANK, Job, Usage, milli_room
 from mosswalk.placement.capacity import Room, zone_rule
 from mosswalk.placement.queues import TeamQueue, fits_quota, most_within
 
 log = logging.getLogger(__name__)
 
-_IDLE_RANK = PRIORITIES.index("idle")
 _CORDON_US = 2 * SECOND_US
 # How long machines for a gang are rented in one zone before the next is tried.
 _ZONE_TURN_US = 30 * SECOND_US
@@ -77,7 +76,7 @@
     def gangs_stuck(self) -> bool:
         """Whether gangs that others may be stopped for found no room."""
         return any(
-            job.is_gang and job.rank < _IDLE_RANK for jobs in self._stuck.values() for job in jobs
+            job.is_gang and job.rank < IDLE_RANK for jobs in self._stuck.values() for job in jobs
         )
 
     def nothing_stuck(self) -> None:
--- a/mosswalk/fleet/stopping.py
+++ b/mosswalk/fleet/stopping.py
@@ -94,6 +94,11 @@
         if reported is None or reported.phase != "exited":
             self._push(machine, Order("kill", name, attempt.number, grace_s))
 
+    def end_withdrawn(self, job: Job) -> None:
+        """A job is withdrawn: end its tasks without waiting for the machines' next reports."""
+        for attempt in job.live():
+            self._kill(job, attempt, 0.0)
+
     def end_gang(self, job: Job) -> None:
         """A gang's attempt is over: end what is left of it, unless it is saving."""
         for attempt in job.live():
--- a/mosswalk/fleet/withdrawing.py
+++ b/mosswalk/fleet/withdrawing.py
@@ -1,52 +1,37 @@
-"""Ends the tasks of withdrawn jobs: told at once, and shown to be gone while there is time."""
+"""Machines that may hold the tasks of withdrawn jobs for too long: they are released in time."""
 
 from __future__ import annotations
 
 from collections.abc import Iterator
 
 from mosswalk.actors import SECOND_US, Clock
-from mosswalk.fleet.command_sender import CommandSender
 from mosswalk.fleet.inventory import Inventory, Machine
 from mosswalk.fleet.silence import SilenceLimits
 from mosswalk.jobs.registry import AttemptKey, JobRegistry
-from mosswalk.jobs.state import Job, task_name
+from mosswalk.jobs.state import task_name
 from mosswalk.leadership.actor import Leadership
-from mosswalk.wire.workers import Order
 
 # Machines tell a new leader by then whether withdrawn tasks are still there.
 _HEAR_US = 4 * SECOND_US
 
 
 class WithdrawnTasks:
-    """What the leader does about withdrawn jobs, besides the kills in its answers to reports."""
+    """Finds machines that have not shown in time that withdrawn tasks are gone."""
 
     def __init__(
         self,
         inventory: Inventory,
         registry: JobRegistry,
         leadership: Leadership,
-        pushes: CommandSender,
         silence_limits: SilenceLimits,
         clock: Clock,
     ) -> None:
         self._inventory = inventory
         self._registry = registry
         self._leadership = leadership
-        self._command_sender = pushes
-        self._patience = silence_limits
+        self._silence_limits = silence_limits
         self._clock = clock
 
-    def end(self, job: Job) -> None:
-        """A job is withdrawn: end its tasks without waiting for the machines' next reports."""
-        for attempt in job.live():
-            machine = self._inventory.machines.get(attempt.machine)
-            if machine is None or machine.tenure != attempt.tenure or machine.releasing:
-                continue
-            name = task_name(job.id, attempt.task)
-            reported = machine.tasks.get((name, attempt.number))
-            if reported is None or reported.phase != "exited":
-                self._command_sender.push(machine, Order("kill", name, attempt.number, 0.0))
-
     def overdue(self, since_us: int) -> Iterator[tuple[Machine, str]]:
         """Machines to release since withdrawn tasks may still be there, and why.
 
@@ -58,7 +43,7 @@
         """
         if not self._registry.withdrawn or self._clock.now_us() - since_us < _HEAR_US:
             return
-        limit_us = self._patience.silent_us + self._patience.lease_us
+        limit_us = self._silence_limits.silent_us + self._silence_limits.lease_us
         for job in list(self._registry.withdrawn.values()):
             age_us = self._clock.wall_us() - job.record.withdrawn_us
             if job.record.withdrawn_us == 0 or age_us < limit_us:
@@ -80,5 +65,8 @@
         if reported is not None:
             return reported.phase == "exited"
         epoch = self._leadership.epoch()
-        heard = machine.hears and self._clock.now_us() - machine.seen_us < self._patience.silent_us
+        heard = (
+            machine.hears
+            and self._clock.now_us() - machine.seen_us < self._silence_limits.silent_us
+        )
         return heard and machine.epoch >= epoch and not machine.may_run_late(start, epoch)
--- a/mosswalk/jobs/state.py
+++ b/mosswalk/jobs/state.py
@@ -20,6 +20,7 @@
 from mosswalk.wire.users import ARRAY, GANG, JobSpec
 
 PRIORITIES = ("prod", "high", "standard", "idle")
+IDLE_RANK = PRIORITIES.index("idle")
 
 
 # A deployment has few different amounts, and they are asked for with each task and machine.
