--- a/mosswalk/actors/__init__.py
+++ b/mosswalk/actors/__init__.py
@@ -60,18 +60,18 @@
     """
 
     name = "actor"
-    mailbox_limit = 20_000
 
     def __init__(self) -> None:
-        self._mailbox: asyncio.Queue[M] = asyncio.Queue(self.mailbox_limit)
+        self._mailbox: asyncio.Queue[M] = asyncio.Queue()
         self._tasks: set[asyncio.Task[Any]] = set()
 
     def tell(self, message: M) -> None:
-        """Leave a message; a full mailbox drops it, as every sender repeats what matters."""
-        try:
-            self._mailbox.put_nowait(message)
-        except asyncio.QueueFull:
-            log.error("%s: mailbox full, dropped a %s", self.name, type(message).__name__)
+        """Leave a message.
+
+        The mailbox has no limit of its own, as nothing may be dropped: a sender has one message
+        under way for what it is about (a machine, an owner, a cloud call), and that bounds it.
+        """
+        self._mailbox.put_nowait(message)
 
     async def receive(self, message: M) -> None:
         """Handle one message."""
--- a/mosswalk/api/__init__.py
+++ b/mosswalk/api/__init__.py
@@ -59,7 +59,7 @@
 
 def users_app(
     job_service: JobService,
-    on_report: Callable[[Report], Awaitable[tuple[int, bytes]]],
+    on_report: Callable[[Report], tuple[int, bytes]],
     healthy: Callable[[], bool],
     metrics: Callable[[], bytes],
 ) -> web.Application:
@@ -83,7 +83,7 @@
         except msgspec.DecodeError as error:
             log.error("worker at %s: malformed report dropped: %s", request.remote, error)
             return web.Response(status=400, body=error_body(str(error)), content_type=_JSON)
-        status, body = await on_report(decoded)
+        status, body = on_report(decoded)
         return web.Response(status=status, body=body, content_type=_JSON)
 
     async def health(_request: web.Request) -> web.Response:
--- a/mosswalk/config/operator.py
+++ b/mosswalk/config/operator.py
@@ -27,7 +27,8 @@
     most_rented: int = 50
     most_returned: int = 2
     weight_of_time: float = 0.3
-    pool_cap: int = 1000
+    # No limit in practice: what waits bounds a rent, and the cloud's refusal a pool.
+    pool_cap: int = 100_000
     idle_keep_s: float = 3.0
     # Steady machines for work that may use spot ones are to be up after it has waited this long.
     steady_within_s: float = 45.0
--- a/mosswalk/config/sockets.py
+++ b/mosswalk/config/sockets.py
@@ -2,11 +2,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from msgspec import Struct
 
 
-@dataclass(frozen=True, slots=True)
-class Sockets:
+class Sockets(Struct, frozen=True):
     """Most connections at a time; what is left over is for users and the balancer's probes."""
 
     # To the state service, the cloud and the other controllers.
--- a/mosswalk/factory/consolidate.py
+++ b/mosswalk/factory/consolidate.py
@@ -9,7 +9,8 @@
 from __future__ import annotations
 
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass, replace
+
+from msgspec import Struct, structs
 
 from mosswalk.jobs.state import Job
 from mosswalk.placement.capacity import Room, zone_rule
@@ -21,8 +22,7 @@
 _MOST_FETCH_S = 0.5
 
 
-@dataclass(slots=True)
-class Host:
+class Host(Struct):
     """A machine that runs replicas."""
 
     room: Room
@@ -55,7 +55,7 @@
     for host in sorted(candidates, key=lambda h: (-h.price * (1 - h.load), h.room.machine)):
         # Onto fuller machines only, or two of them would trade replicas for ever.
         rooms = [
-            replace(h.room)
+            structs.replace(h.room)
             for h in sorted(everything, key=lambda h: (-h.load, h.room.machine))
             if h is not host and h.load >= host.load
         ]
--- a/mosswalk/factory/cordon.py
+++ b/mosswalk/factory/cordon.py
@@ -8,7 +8,8 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
-from dataclasses import dataclass
+
+from msgspec import Struct
 
 # Emptied only if less than this part of it is used.
 _MOST_USED = 0.6
@@ -16,8 +17,7 @@
 _RESERVE = 0.2
 
 
-@dataclass(frozen=True, slots=True)
-class Occupancy:
+class Occupancy(Struct, frozen=True):
     """A machine's used and free amounts, in thousandths, and its price."""
 
     machine: str
--- a/mosswalk/factory/load.py
+++ b/mosswalk/factory/load.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from msgspec import Struct
 
 from mosswalk.jobs.admission import fits_type
 from mosswalk.jobs.state import Job, milli
@@ -29,8 +29,7 @@
     return float("inf") if demand > 0 else 0.0
 
 
-@dataclass(slots=True)
-class Dwell:
+class Dwell(Struct):
     """Tells when a ratio has stayed beyond a threshold for long enough."""
 
     since_us: int | None = None
--- a/mosswalk/factory/loop.py
+++ b/mosswalk/factory/loop.py
@@ -10,9 +10,10 @@
 import math
 from collections import Counter
 from collections.abc import Callable, Iterable, Mapping
-from dataclasses import dataclass, field
 from statistics import median
 
+from msgspec import Struct, field
+
 from mosswalk.actors import to_us
 from mosswalk.config.operator import FactoryTuning
 from mosswalk.factory.load import Dwell, fits, load_ratio, weight
@@ -31,8 +32,7 @@
 _MOST_REFUSED_US = 30_000_000
 
 
-@dataclass(slots=True)
-class MachineView:
+class MachineView(Struct):
     """A machine as the factory sees it."""
 
     name: str
@@ -48,8 +48,7 @@
     cordoned: bool = True
 
 
-@dataclass(slots=True)
-class WaitingTasks:
+class WaitingTasks(Struct):
     """Tasks of one job that found no room on booted machines."""
 
     job: Job
@@ -61,8 +60,7 @@
     urgent: bool = False
 
 
-@dataclass(slots=True)
-class View:
+class View(Struct):
     """All the factory decides on."""
 
     now_us: int
@@ -72,24 +70,21 @@
     calls: int
 
 
-@dataclass(frozen=True, slots=True)
-class Rent:
+class Rent(Struct, frozen=True):
     """Rent one machine in each of these pools, the copies of one another."""
 
     group: int
     pools: tuple[Pool, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class GiveBack:
+class GiveBack(Struct, frozen=True):
     """Return a machine."""
 
     machine: str
     why: str
 
 
-@dataclass(slots=True)
-class _PoolState:
+class _PoolState(Struct):
     queue_us: float | None = None
     boot_us: float | None = None
     refused_until_us: int = 0
@@ -97,8 +92,7 @@
     wanted_since_us: int | None = None
 
 
-@dataclass(slots=True)
-class _Shape:
+class _Shape(Struct):
     high: Dwell = field(default_factory=Dwell)
     low: Dwell = field(default_factory=Dwell)
 
@@ -446,8 +440,7 @@
     )
 
 
-@dataclass(slots=True)
-class _Group:
+class _Group(Struct):
     """Unplaced tasks of one shape that may use the same pools."""
 
     pools: tuple[Pool, ...]
--- a/mosswalk/factory/pareto.py
+++ b/mosswalk/factory/pareto.py
@@ -8,12 +8,12 @@
 
 import math
 from collections.abc import Iterable, Sequence
-from dataclasses import dataclass
 from itertools import combinations
 
+from msgspec import Struct
 
-@dataclass(frozen=True, slots=True)
-class PoolFigures:
+
+class PoolFigures(Struct, frozen=True):
     """What is known of a pool: alpha, q, b and phi of the paper."""
 
     pool: tuple[str, str, bool]
@@ -27,8 +27,7 @@
         return self.queue_us + self.boot_us
 
 
-@dataclass(frozen=True, slots=True)
-class Action:
+class Action(Struct, frozen=True):
     """A set of pools with its round-trip time r and its cost c."""
 
     time_us: float
--- a/mosswalk/fleet/command_sender.py
+++ b/mosswalk/fleet/command_sender.py
@@ -5,10 +5,10 @@
 import asyncio
 import logging
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass, field
 
 import aiohttp
 import msgspec
+from msgspec import Struct, field
 
 from mosswalk.actors import Clock
 from mosswalk.fleet.inventory import Inventory, Machine
@@ -26,8 +26,7 @@
 _CLOSE = {"Connection": "close"}
 
 
-@dataclass(slots=True)
-class _Push:
+class _Push(Struct):
     orders: list[Order] = field(default_factory=list)
     in_flight: bool = False
     # Send even if there is nothing to order: the answer tells that the machine hears us.
--- a/mosswalk/fleet/inventory.py
+++ b/mosswalk/fleet/inventory.py
@@ -3,21 +3,24 @@
 from __future__ import annotations
 
 from collections import OrderedDict
-from dataclasses import dataclass, field
 from typing import Literal
 
+from msgspec import Struct, field
+
+from mosswalk.actors import SECOND_US
 from mosswalk.jobs.state import milli
 from mosswalk.wire.cloud import MachineType
 from mosswalk.wire.workers import Order, Report, TaskReport
 
 TaskKey = tuple[str, int]
 
-# Names of machines that are gone, kept so that the lagging list can't bring them back.
-_MOST_GONE = 5000
+# Names of machines that are gone are kept this long, so that neither the lagging list nor a late
+# copy of a report brings them back; and this many of them however old they are.
+_GONE_US = 600 * SECOND_US
+_LEAST_GONE = 5000
 
 
-@dataclass(slots=True)
-class Machine:
+class Machine(Struct):
     """One machine, from its rental until the cloud has confirmed its return."""
 
     name: str
@@ -49,6 +52,8 @@
     probed_us: int | None = None
     notice_until_us: int | None = None
     tasks: dict[TaskKey, TaskReport] = field(default_factory=dict)
+    # Those of them that have exited: room is worked out far more often than they change.
+    exited: frozenset[TaskKey] = frozenset()
     images: OrderedDict[str, float] = field(default_factory=OrderedDict)
     errors: int = 0
     distrusted: bool = False
@@ -71,6 +76,14 @@
         """Whether a report is newer than all seen before."""
         return (report.tenure, report.tick) > (self.tenure, self.tick)
 
+    def note_tasks(self, tasks: dict[TaskKey, TaskReport]) -> bool:
+        """Take over what a report lists; whether that is anything new."""
+        if tasks == self.tasks:
+            return False
+        self.tasks = tasks
+        self.exited = frozenset(key for key, task in tasks.items() if task.phase == "exited")
+        return True
+
     def told(self, epoch: int, orders: tuple[Order, ...], now_us: int) -> None:
         """Our answer to a report is on its way."""
         self.told_epoch, self.told_orders, self.told_us = epoch, orders, now_us
@@ -135,17 +148,22 @@
     def __init__(self) -> None:
         self.machines: dict[str, Machine] = {}
         self.types: dict[str, MachineType] = {}
-        self._gone: OrderedDict[str, None] = OrderedDict()
+        # With when the cloud confirmed it, the oldest first.
+        self._gone: OrderedDict[str, int] = OrderedDict()
 
     def gone(self, name: str) -> bool:
         """Whether the cloud has confirmed that the machine is gone."""
         return name in self._gone
 
-    def remove(self, name: str) -> Machine | None:
+    def remove(self, name: str, now_us: int) -> Machine | None:
         """The cloud has confirmed the return."""
-        self._gone[name] = None
-        while len(self._gone) > _MOST_GONE:
-            self._gone.popitem(last=False)
+        self._gone[name] = now_us
+        self._gone.move_to_end(name)
+        while len(self._gone) > _LEAST_GONE:
+            oldest, gone_us = next(iter(self._gone.items()))
+            if now_us - gone_us < _GONE_US:
+                break
+            del self._gone[oldest]
         return self.machines.pop(name, None)
 
     def adopt(
--- a/mosswalk/fleet/manager.py
+++ b/mosswalk/fleet/manager.py
@@ -28,7 +28,6 @@
     OfferDone,
     Plan,
     PushDone,
-    ReportIn,
     TermBegan,
     Tick,
 )
@@ -51,7 +50,7 @@
 from mosswalk.store import records
 from mosswalk.store.mirror import Mirror
 from mosswalk.store.writer import GroupWriter
-from mosswalk.wire.cloud import MachineType
+from mosswalk.wire.cloud import MAX_LIST, MachineType
 from mosswalk.wire.peers import Offer, OfferAnswer, Outcome
 from mosswalk.wire.workers import Order, Report, ReportAnswer
 
@@ -66,6 +65,9 @@
 _TICK_US = 500_000
 _PAUSE_US = 2 * SECOND_US
 _LIST_US = 4 * SECOND_US
+# The machine list of a large fleet has many pages: reading it again and again takes no more than
+# this part of the cloud's calls.
+_LIST_PART = 0.25
 _TYPES_US = 60 * SECOND_US
 _PREEMPT_US = 500_000
 _GANG_PREEMPT_US = 150_000
@@ -76,6 +78,8 @@
 # Those that have not found it by then are called, so many a tick, and again after as long.
 _DRAW_AFTER_US = 2 * SECOND_US
 _MOST_DRAWN = 64
+# Of a large fleet this part, so that calling all of it over takes no longer than half a lease.
+_DRAWN_PART = 16
 
 
 class OwnerLink(OutcomeLink, Protocol):
@@ -194,8 +198,6 @@
     async def receive(self, message: Message) -> None:
         """Handle one message."""
         match message:
-            case ReportIn():
-                self._report_in(message)
             case PushDone():
                 self._push_done(message)
             case OfferDone():
@@ -227,11 +229,19 @@
             await asyncio.sleep(to_s(_TICK_US))
             self.tell(Tick())
 
-    async def report(self, report: Report) -> tuple[int, bytes]:
-        """Answer a report: the status and the body."""
-        future: asyncio.Future[tuple[int, bytes]] = asyncio.get_running_loop().create_future()
-        self.tell(ReportIn(report, future))
-        return await future
+    def report(self, report: Report) -> tuple[int, bytes]:
+        """Answer a report: the status and the body.
+
+        Not by the mailbox: no handler awaits, so none is half done when a report comes, and a
+        report need not wait behind all that others have told.
+        """
+        self._check_lead()
+        self._leadership.outbid(report.epoch)
+        if not self._leading or not self._leadership.may_answer():
+            return self.follower_reports.answer(report)
+        orders = self._take_report(report, in_answer=True)
+        answer = ReportAnswer(self._leadership.epoch(), tuple(orders))
+        return 200, msgspec.json.encode(answer)
 
     def _poke(self) -> None:
         if self._leading and not self._plan_scheduled:
@@ -272,19 +282,6 @@
 
     # Reports and orders.
 
-    def _report_in(self, message: ReportIn) -> None:
-        if message.answer.done():
-            return
-        report = message.report
-        self._check_lead()
-        self._leadership.outbid(report.epoch)
-        if self._leading and self._leadership.may_answer():
-            orders = self._take_report(report, in_answer=True)
-            body = msgspec.json.encode(ReportAnswer(self._leadership.epoch(), tuple(orders)))
-            message.answer.set_result((200, body))
-        else:
-            message.answer.set_result(self.follower_reports.answer(report))
-
     def cut_from_workers(self, elsewhere: int) -> bool:
         """Whether the workers can't reach this leader, but turn to others."""
         now_us = self._clock.now_us()
@@ -327,8 +324,7 @@
             # Just up, as it seems: let it see our epoch at once, and it can be used at once.
             self._command_sender.probe(machine)
         tasks = {(t.task, t.attempt): t for t in report.tasks}
-        changed = tasks != machine.tasks
-        machine.tasks = tasks
+        changed = machine.note_tasks(tasks)
         evaluation = evaluate_report(
             machine,
             report,
@@ -344,7 +340,7 @@
         for outcome in outcomes:
             self._outcome_sender.reported(outcome)
         if outcomes:
-            self._outcome_sender.send_due()
+            self._outcome_sender.send_new()
         if changed or before != self._standing(machine):
             # Most reports tell nothing new: room and plans are worked out for the others only.
             self._offers.touch(machine.name)
@@ -520,7 +516,7 @@
         if now_us - self._asked_types_us > types_us:
             self._asked_types_us = now_us
             self.spawn(self.cloud.refresh_types())
-        if now_us - self._asked_list_us > _LIST_US:
+        if now_us - self._asked_list_us > self._list_period_us():
             self._asked_list_us = now_us
             self.spawn(self.cloud.refresh_list())
         for name in list(self._registry.by_machine):
@@ -552,6 +548,11 @@
             self._move(waiting)
         self._poke()
 
+    def _list_period_us(self) -> int:
+        pages = 1 + len(self.inventory.machines) // MAX_LIST
+        rps = self._settings.params.cloud.rps
+        return max(_LIST_US, to_us(pages / (_LIST_PART * rps)))
+
     def _ready_to_rent(self) -> bool:
         """Whether the inventory is complete: else machines not known here are rented again."""
         if not self._listed or not self._priced or not self._leadership.may_start():
@@ -579,7 +580,8 @@
             and not m.releasing
             and (m.probed_us is None or now_us - m.probed_us > _DRAW_AFTER_US)
         ]
-        for machine in strays[:_MOST_DRAWN]:
+        most = max(_MOST_DRAWN, len(self.inventory.machines) // _DRAWN_PART)
+        for machine in strays[:most]:
             self._command_sender.probe(machine)
 
     def _suspect(self) -> None:
@@ -659,10 +661,10 @@
                 self._outcome_sender.proven(
                     Outcome(task_name(key[0], key[1]), key[2], name, "lost")
                 )
-            self.inventory.remove(name)
+            self.inventory.remove(name, self._clock.now_us())
             self._offers.touch(name)
             self._command_sender.forget(name)
-        self._outcome_sender.send_due()
+        self._outcome_sender.send_new()
         self._poke()
 
     def _know_types(self) -> None:
--- a/mosswalk/fleet/messages.py
+++ b/mosswalk/fleet/messages.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
-
 from msgspec import Struct
 
 from mosswalk.cloud.actor import CloudNews
@@ -11,13 +9,6 @@
 from mosswalk.wire.workers import Report
 
 
-class ReportIn(Struct):
-    """A worker's report, with where its answer goes."""
-
-    report: Report
-    answer: asyncio.Future[tuple[int, bytes]]
-
-
 class PushDone(Struct):
     """What became of orders sent to a worker's own address."""
 
@@ -48,4 +39,4 @@
     """The term record has changed."""
 
 
-Message = ReportIn | PushDone | OfferDone | Plan | Tick | TermBegan | CloudNews
+Message = PushDone | OfferDone | Plan | Tick | TermBegan | CloudNews
--- a/mosswalk/fleet/offers.py
+++ b/mosswalk/fleet/offers.py
@@ -4,7 +4,8 @@
 
 import logging
 from collections.abc import Iterable, Iterator, Mapping
-from dataclasses import dataclass
+
+from msgspec import Struct
 
 from mosswalk.actors import SECOND_US, Clock, to_us
 from mosswalk.config import Settings
@@ -31,8 +32,7 @@
 _KEPT_US = 10 * SECOND_US
 
 
-@dataclass(slots=True)
-class _Reservation:
+class _Reservation(Struct):
     """Room offered to an owner and not yet seen in the records."""
 
     node: str
@@ -157,9 +157,12 @@
 
         The records show an exit later, as writes are scarce; its room need not wait for that.
         """
-        for key in self._registry.attempts_on(machine.name):
-            reported = machine.tasks.get((task_name(key[0], key[1]), key[2]))
-            if reported is None or reported.phase != "exited":
+        attempts = self._registry.attempts_on(machine.name)
+        if not machine.exited:
+            yield from attempts
+            return
+        for key in attempts:
+            if (task_name(key[0], key[1]), key[2]) not in machine.exited:
                 yield key
 
     def _note_use(self, machine: Machine, running: list[Job]) -> None:
@@ -167,7 +170,7 @@
         machine.used_memory = sum(job.memory for job in running)
         machine.has_replica = any(job.spec.kind == "daemon" for job in running)
         attempts = self._registry.attempts_on(machine.name)
-        idle = not attempts and not any(t.phase != "exited" for t in machine.tasks.values())
+        idle = not attempts and len(machine.exited) == len(machine.tasks)
         if machine.phase != "up" or not idle:
             machine.idle_since_us = None
         elif machine.idle_since_us is None:
--- a/mosswalk/fleet/outcome_sender.py
+++ b/mosswalk/fleet/outcome_sender.py
@@ -4,12 +4,13 @@
 
 import logging
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
 from typing import Protocol
 
+from msgspec import Struct
+
 from mosswalk.actors import Clock
 from mosswalk.jobs.registry import JobRegistry
-from mosswalk.jobs.state import split_task_name
+from mosswalk.jobs.state import Job, split_task_name
 from mosswalk.leadership.actor import Leadership
 from mosswalk.placement.owner import Owner
 from mosswalk.wire.peers import Outcome, Outcomes
@@ -26,10 +27,9 @@
         """Tell outcomes."""
 
 
-@dataclass(slots=True)
-class _Told:
+class _Told(Struct):
     outcome: Outcome
-    sent_us: int = 0
+    sent_us: int | None = None
 
 
 class OutcomeSender:
@@ -51,35 +51,68 @@
         self._spawn = spawn
         self._clock = clock
         self._told: dict[tuple[str, int], _Told] = {}
+        # Those of them that have not been sent yet: a report costs by what it tells, not by how
+        # many outcomes wait for their writes.
+        self._unsent: dict[tuple[str, int], _Told] = {}
 
     def reset(self) -> None:
         """Forget all: another controller leads."""
         self._told.clear()
+        self._unsent.clear()
 
     def reported(self, outcome: Outcome) -> None:
         """A worker has reported it; one told already is sent again in its time only."""
         key = (outcome.task, outcome.attempt)
-        self._told.setdefault(key, _Told(outcome)).outcome = outcome
+        told = self._told.get(key)
+        if told is None:
+            self._add(key, outcome)
+        else:
+            told.outcome = outcome
 
     def proven(self, outcome: Outcome) -> None:
         """The cloud has confirmed it: whatever was told before, this is sent at once."""
-        self._told[(outcome.task, outcome.attempt)] = _Told(outcome)
+        self._add((outcome.task, outcome.attempt), outcome)
+
+    def _add(self, key: tuple[str, int], outcome: Outcome) -> None:
+        self._told[key] = self._unsent[key] = _Told(outcome)
+
+    def send_new(self) -> None:
+        """Send what has not been sent yet."""
+        unsent, self._unsent = self._unsent, {}
+        self._send_all(list(unsent.items()))
 
     def send_due(self) -> None:
-        """Send what is due."""
+        """Send what is due, also what was sent a while ago and the records don't show yet."""
+        self._unsent.clear()
+        sent_before_us = self._clock.now_us() - _RESEND_US
+        self._send_all(
+            [
+                (key, told)
+                for key, told in self._told.items()
+                if told.sent_us is None or told.sent_us <= sent_before_us
+            ]
+        )
+
+    def _job_of(self, outcome: Outcome) -> Job | None:
+        """The job whose records still show the attempt as live, or None."""
+        split = split_task_name(outcome.task)
+        if split is None:
+            return None
+        if (*split, outcome.attempt) not in self._registry.attempts_on(outcome.machine):
+            return None
+        return self._registry.jobs.get(split[0])
+
+    def _send_all(self, due: list[tuple[tuple[str, int], _Told]]) -> None:
         term = self._leadership.term
         if term is None:
             return
         now_us = self._clock.now_us()
         by_node: dict[str, list[Outcome]] = {}
-        for key, told in list(self._told.items()):
-            split = split_task_name(told.outcome.task)
-            job = self._registry.jobs.get(split[0]) if split is not None else None
-            if split is None or job is None or job.find(split[1], key[1]) is None:
+        for key, told in due:
+            job = self._job_of(told.outcome)
+            if job is None:
                 # The record shows it: the worker's next report gets its reap.
-                del self._told[key]
-                continue
-            if now_us - told.sent_us < _RESEND_US:
+                self._told.pop(key, None)
                 continue
             told.sent_us = now_us
             node = term.owners.get(job.spec.team)
--- a/mosswalk/fleet/preempting.py
+++ b/mosswalk/fleet/preempting.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 from collections.abc import Container, Iterable, Mapping
-from dataclasses import replace
+
+from msgspec import structs
 
 from mosswalk.actors import Clock, to_us
 from mosswalk.config import Settings
@@ -82,7 +83,7 @@
         rooms: list[Room] = []
         running: dict[str, list[Victim]] = {}
         for shared in self._offers.rooms():
-            room = replace(shared)
+            room = structs.replace(shared)
             rooms.append(room)
             attempts = self._registry.attempts_on(room.machine)
             # Room of reported exits is free already: counted again, too little would be stopped.
--- a/mosswalk/fleet/renting.py
+++ b/mosswalk/fleet/renting.py
@@ -100,7 +100,7 @@
             own = usage.setdefault(team.name, Usage())
             guaranteed = fits_quota(team, own, job, limit=False)
             patient = self._patient(job, guaranteed)
-            count = most_within(team, own, job, min(job.pending_count(), 2000))
+            count = most_within(team, own, job, job.pending_count())
             own.add(job, count)
             if not count:
                 continue
--- a/mosswalk/fleet/report_evaluation.py
+++ b/mosswalk/fleet/report_evaluation.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass, field
+
+from msgspec import Struct, field
 
 from mosswalk.fleet.inventory import Machine
 from mosswalk.jobs.registry import AttemptKey
@@ -25,8 +26,7 @@
 }
 
 
-@dataclass(slots=True)
-class Evaluation:
+class Evaluation(Struct):
     """Orders for the worker, and outcomes for the records."""
 
     orders: list[Order] = field(default_factory=list)
--- a/mosswalk/fleet/silence.py
+++ b/mosswalk/fleet/silence.py
@@ -7,11 +7,11 @@
 
 from collections import Counter
 from collections.abc import Container, Mapping
-from dataclasses import dataclass
 
+from msgspec import Struct
 
-@dataclass(frozen=True, slots=True)
-class SilenceLimits:
+
+class SilenceLimits(Struct, frozen=True):
     """How long to wait, in microseconds."""
 
     # More than one report has been missed.
--- a/mosswalk/fleet/stopping.py
+++ b/mosswalk/fleet/stopping.py
@@ -7,7 +7,8 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterator
-from dataclasses import dataclass
+
+from msgspec import Struct
 
 from mosswalk.actors import SECOND_US, Clock, to_us
 from mosswalk.config import Settings
@@ -22,8 +23,7 @@
 _OVERDUE_GRACE_PARTS = 1.5
 
 
-@dataclass(slots=True)
-class _Stop:
+class _Stop(Struct):
     since_us: int
     grace_s: float
 
--- a/mosswalk/jobs/layout.py
+++ b/mosswalk/jobs/layout.py
@@ -8,9 +8,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
-
-from msgspec import Raw, structs
+from msgspec import Raw, Struct, structs
 
 from mosswalk.jobs.state import Job
 from mosswalk.store import records
@@ -24,8 +22,7 @@
     return job.record.chunk > size and job.spec.tasks > size
 
 
-@dataclass(slots=True)
-class Split:
+class Split(Struct):
     """A job in smaller records."""
 
     header: JobRecord
--- a/mosswalk/jobs/state.py
+++ b/mosswalk/jobs/state.py
@@ -7,10 +7,9 @@
 from __future__ import annotations
 
 from collections.abc import Iterator
-from dataclasses import dataclass
 from functools import lru_cache
 
-from msgspec import Raw, structs
+from msgspec import Raw, Struct, structs
 
 from mosswalk.config import StateLimits
 from mosswalk.store import records
@@ -45,7 +44,8 @@
     return f"{job_id}/{index}"
 
 
-# Asked for each task of each report, and what runs stays the same for many of them.
+# Asked for each task of each report, and what runs stays the same for many of them. Beyond these,
+# names are taken apart again, for a microsecond each: more would cost 250 bytes of memory a name.
 @lru_cache(maxsize=32_768)
 def split_task_name(name: str) -> tuple[str, int] | None:
     """A task's job and index, or None if the name isn't one."""
@@ -147,8 +147,7 @@
         return None
 
 
-@dataclass(slots=True)
-class Usage:
+class Usage(Struct):
     """What a team's live attempts take, in thousandths."""
 
     cpus: int = 0
@@ -160,8 +159,7 @@
         self.gpus += job.gpus * count
 
 
-@dataclass(slots=True, frozen=True)
-class Place:
+class Place(Struct, frozen=True):
     """Where a task is to run."""
 
     index: int
--- a/mosswalk/peers/withdrawal_broadcast.py
+++ b/mosswalk/peers/withdrawal_broadcast.py
@@ -23,7 +23,6 @@
 _PAUSE_S = 0.5
 # A record takes up to value_kb, and a message may have 4 MiB.
 _MOST_IN_MESSAGE = 32
-_MOST_WAITING = 1000
 
 
 class WithdrawalLink(Protocol):
@@ -45,7 +44,8 @@
         rng: random.Random,
     ) -> None:
         self._peers = peers
-        # After this long it is of no use to anybody.
+        # After this long it is of no use to anybody. That bounds what waits, too: each withdrawal
+        # has taken a write of the state service.
         self._keep_us = keep_us
         self._clock = clock
         self._rng = rng
@@ -59,8 +59,6 @@
         now_us = self._clock.now_us()
         for node, waiting in self._waiting.items():
             waiting[withdrawal.job] = (now_us + self._keep_us, withdrawal)
-            while len(waiting) > _MOST_WAITING:
-                waiting.popitem(last=False)
             self._wake[node].set()
 
     async def run(self) -> None:
--- a/mosswalk/placement/capacity.py
+++ b/mosswalk/placement/capacity.py
@@ -3,15 +3,15 @@
 from __future__ import annotations
 
 from collections.abc import Container, Iterable
-from dataclasses import dataclass, field
+
+from msgspec import Struct, field
 
 from mosswalk.jobs.state import Job
 from mosswalk.wire.peers import SlotOffer
 from mosswalk.wire.users import JobSpec
 
 
-@dataclass(slots=True)
-class Room:
+class Room(Struct):
     """What is free on one machine; amounts in thousandths."""
 
     machine: str
@@ -89,8 +89,7 @@
     )
 
 
-@dataclass(slots=True)
-class ZoneRule:
+class ZoneRule(Struct):
     """Where a job's next task may go, given its attempts that may be running."""
 
     one_zone: bool
--- a/mosswalk/placement/gangs.py
+++ b/mosswalk/placement/gangs.py
@@ -7,7 +7,8 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
-from dataclasses import replace
+
+from msgspec import structs
 
 from mosswalk.jobs.state import Job
 from mosswalk.placement.capacity import Room, ZoneRule, best_room, new_zone_rule
@@ -17,7 +18,7 @@
     """The rooms for all tasks, one a task; None if they don't fit."""
     if sum(room.most(job) for room in candidates) < job.spec.tasks:
         return None
-    copies = [replace(room) for room in candidates]
+    copies = [structs.replace(room) for room in candidates]
     originals = {room.machine: room for room in candidates}
     found: list[Room] = []
     while len(found) < job.spec.tasks:
--- a/mosswalk/placement/owner.py
+++ b/mosswalk/placement/owner.py
@@ -10,7 +10,8 @@
 import asyncio
 import logging
 from collections.abc import Iterable
-from dataclasses import dataclass
+
+from msgspec import Struct
 
 from mosswalk.actors import SECOND_US, Clock
 from mosswalk.config import Settings, Team
@@ -44,8 +45,7 @@
 _MOST_SPLIT = 4
 
 
-@dataclass
-class _Hold:
+class _Hold(Struct):
     """A job whose attempts fail for reasons that are not the machine's: wait before the next."""
 
     failures: int
--- a/mosswalk/placement/preemption.py
+++ b/mosswalk/placement/preemption.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass, replace
+
+from msgspec import Struct, structs
 
 from mosswalk.config import Team
 from mosswalk.jobs.state import Job, Usage, milli_room
@@ -20,8 +21,7 @@
 _NO_BETTER = (0, 1, -3)
 
 
-@dataclass(slots=True, frozen=True)
-class Victim:
+class Victim(Struct, frozen=True):
     """An attempt that could be stopped, and the job that would get its room."""
 
     job: Job
@@ -52,8 +52,7 @@
     return team is not None and used.cpus - other.cpus >= milli_room(team.cpus)
 
 
-@dataclass(slots=True)
-class _Made:
+class _Made(Struct):
     """Room made for one task: whom to stop there."""
 
     room: Room
@@ -71,9 +70,10 @@
         usage: Mapping[str, Usage],
     ) -> None:
         self._teams = teams
-        self._spare = {room.machine: replace(room) for room in rooms}
-        # Least urgent first; of those, the ones that can save and the youngest.
-        self._left = {machine: sorted(victims, key=_order) for machine, victims in running.items()}
+        self._spare = {room.machine: structs.replace(room) for room in rooms}
+        # In order only on the machines that are looked at: most are passed over.
+        self._left = {machine: list(victims) for machine, victims in running.items()}
+        self._in_order: set[str] = set()
         # At most this much could be freed on a machine: most are passed over by it.
         self._freeable = {
             machine: (sum(v.job.cpus for v in victims), sum(v.job.memory for v in victims))
@@ -97,7 +97,7 @@
                 continue
             if not room.allows(job) or not rule.allows(room.zone):
                 continue
-            victims = self._left.get(machine, [])
+            victims = self._in_order_on(machine)
             picked = _fewest(job, room, victims, guaranteed, self._teams, self._used)
             if picked is None:
                 continue
@@ -117,6 +117,14 @@
         rule.add(made.room.zone)
         return made
 
+    def _in_order_on(self, machine: str) -> list[Victim]:
+        """A machine's attempts: least urgent first; of those, what can save and the youngest."""
+        left = self._left.get(machine, [])
+        if machine not in self._in_order:
+            left.sort(key=_order)
+            self._in_order.add(machine)
+        return left
+
     def _apply(self, job: Job, made: _Made) -> None:
         machine = made.room.machine
         for victim in made.victims:
@@ -124,7 +132,7 @@
             self._left[machine].remove(victim)
             self._free(machine, victim.job, -1)
             self.usage(victim.job.spec.team).add(victim.job, -1)
-            self.chosen.append(replace(victim, wanted_by=job.id))
+            self.chosen.append(structs.replace(victim, wanted_by=job.id))
         made.room.take(job)
         self.usage(job.spec.team).add(job)
 
--- a/mosswalk/placement/queues.py
+++ b/mosswalk/placement/queues.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 from collections.abc import Iterable, Iterator, Mapping
-from dataclasses import dataclass
+
+from msgspec import Struct
 
 from mosswalk.actors import to_us
 from mosswalk.config import Objective, Team
@@ -129,8 +130,7 @@
     return max(0, count) if count >= job.together else 0
 
 
-@dataclass(slots=True)
-class Placing:
+class Placing(Struct):
     """One task put on one machine."""
 
     job: Job
@@ -142,8 +142,7 @@
         return [(self.index, self.room)]
 
 
-@dataclass(slots=True)
-class GangPlacing:
+class GangPlacing(Struct):
     """All tasks of a gang, each put on a machine."""
 
     job: Job
--- a/mosswalk/service.py
+++ b/mosswalk/service.py
@@ -184,8 +184,8 @@
         return [self.writer.run(), self.users_writer.run(), *(run_forever(loop) for loop in kept)]
 
 
-async def listen(app: web.Application, address: str) -> web.AppRunner:
-    """Serve an application."""
+async def listen(app: web.Application, address: str, backlog: int = 512) -> web.AppRunner:
+    """Serve an application; after a takeover up to ``backlog`` connections come at once."""
     runner = web.AppRunner(
         app,
         access_log=None,
@@ -195,7 +195,7 @@
     )
     await runner.setup()
     host, port = split_address(address)
-    await web.TCPSite(runner, host, port, backlog=512, reuse_address=True).start()
+    await web.TCPSite(runner, host, port, backlog=backlog, reuse_address=True).start()
     return runner
 
 
@@ -210,8 +210,9 @@
     async with _session(budget.calls) as session, _session(budget.orders) as orders:
         controller = Controller(settings, session, orders, SystemClock(), random.Random())
         users, peers = controller.apps()
-        await listen(users, settings.serve_on)
-        await listen(peers, settings.cluster_listen)
+        most = settings.params.machine_limits.max_connections
+        await listen(users, settings.serve_on, most)
+        await listen(peers, settings.cluster_listen, most)
         log.info("%s serves on %s", settings.host_name, settings.serve_on)
         # None of these ever returns.
         await asyncio.gather(*controller.work())
--- a/tests/simulation.py
+++ b/tests/simulation.py
@@ -209,7 +209,7 @@
         await asyncio.sleep(self.rng.choice([2.0, 5.0, LEASE_S + 4.0, 2 * LEASE_S]))
         name = self.rng.choice(self.names)
         if name in self.controllers:
-            await self.controllers[name][0].manager.report(msgspec.json.decode(body, type=Report))
+            self.controllers[name][0].manager.report(msgspec.json.decode(body, type=Report))
 
     # The controllers.
 
@@ -255,7 +255,7 @@
 
         async def users(method: str, path: str, body: bytes, _sender: str) -> tuple[int, bytes]:
             if path == "/v1/report":
-                return await controller.manager.report(msgspec.json.decode(body, type=Report))
+                return controller.manager.report(msgspec.json.decode(body, type=Report))
             if method == "POST" and path == "/api/jobs":
                 reply = await controller.job_service.submit(body)
             elif method == "POST":
--- a/tests/test_report_evaluation.py
+++ b/tests/test_report_evaluation.py
@@ -113,7 +113,7 @@
 def test_a_machine_that_is_gone_stays_gone_however_late_the_list_is():
     inventory = Inventory()
     inventory.machines["vm-1"] = machine()
-    inventory.remove("vm-1")
+    inventory.remove("vm-1", 0)
     assert inventory.gone("vm-1") and "vm-1" not in inventory.machines
 
 
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -9,7 +9,6 @@
 from mosswalk.config import Team, load
 from mosswalk.fleet.inventory import Machine
 from mosswalk.fleet.manager import FleetManager
-from mosswalk.fleet.messages import ReportIn
 from mosswalk.jobs.registry import JobRegistry
 from mosswalk.store import records
 from mosswalk.store.records import TermRecord
@@ -89,10 +88,8 @@
 
 def report(led, index, tick, *tasks):
     name = f"vm-{index:06d}"
-    future = asyncio.get_running_loop().create_future()
     told = Report(name, "1.2.3.4:5", "small", "a", 1, tick, 3, tasks=tasks)
-    led.manager._report_in(ReportIn(told, future))
-    assert future.result()[0] == 200
+    assert led.manager.report(told)[0] == 200
 
 
 def test_reports_that_tell_nothing_new_build_no_room_and_ask_for_no_plan(led):
@@ -215,10 +212,8 @@
 
     async def run():
         async def answer(epoch=3):
-            future = asyncio.get_running_loop().create_future()
             told = Report("vm-000001", "1.2.3.4:5", "small", "a", 1, 9, epoch)
-            manager._report_in(ReportIn(told, future))
-            return (await future)[0]
+            return manager.report(told)[0]
 
         nonlocal outage
         assert await answer() == 421
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -36,7 +36,7 @@
             kept = sum(pushes._may_keep(name) for name in inventory.machines)
             assert kept == min(count, max(0, budget.workers - count))
         for name in list(inventory.machines)[200:]:
-            inventory.remove(name)
+            inventory.remove(name, 0)
             pushes.forget(name)
         assert all(pushes._may_keep(name) for name in inventory.machines)
 
