Limits of 4,000 machines, start-up and stalls as tests; emptying looks at a bounded part of a fleet

Cause: found by going through every constant. It asks 48 machines a turn now, and copies only rooms that take something.

--- a/mosswalk/factory/consolidate.py
+++ b/mosswalk/factory/consolidate.py
@@ -8,7 +8,9 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Mapping
+from collections import ChainMap
+from collections.abc import Iterable, MutableMapping
+from itertools import takewhile
 
 from msgspec import Struct, structs
 
@@ -20,6 +22,8 @@
 _MOST_USED = 0.5
 # A fetch longer than this would make the gap too long.
 _MOST_FETCH_S = 0.5
+# So many machines are looked at in one go: each look asks all that are fuller.
+_MOST_LOOKS = 48
 
 
 class Host(Struct):
@@ -35,9 +39,9 @@
 
 
 def _fits_elsewhere(
-    job: Job, attempt: Attempt, rooms: Iterable[Room], zone_of: Mapping[str, str]
+    job: Job, attempt: Attempt, rooms: Iterable[Room], zone_of: MutableMapping[str, str]
 ) -> Room | None:
-    rule = zone_rule(job, {**zone_of, attempt.machine: ""})
+    rule = zone_rule(job, ChainMap({attempt.machine: ""}, zone_of))
     if rule is None:
         return None
     for room in rooms:
@@ -48,22 +52,30 @@
     return None
 
 
-def to_empty(hosts: Iterable[Host], zone_of: Mapping[str, str]) -> Host | None:
+def to_empty(hosts: Iterable[Host], zone_of: MutableMapping[str, str]) -> Host | None:
     """The machine whose emptying saves most, if its replicas fit on the others."""
     everything = list(hosts)
     candidates = [h for h in everything if h.settled and 0 < h.load < _MOST_USED]
-    for host in sorted(candidates, key=lambda h: (-h.price * (1 - h.load), h.room.machine)):
-        # Onto fuller machines only, or two of them would trade replicas for ever.
-        rooms = [
-            structs.replace(h.room)
-            for h in sorted(everything, key=lambda h: (-h.load, h.room.machine))
-            if h is not host and h.load >= host.load
-        ]
-        for job, attempt in host.replicas:
-            found = _fits_elsewhere(job, attempt, rooms, zone_of)
-            if found is None:
-                break
-            found.take(job)
-        else:
+    candidates.sort(key=lambda h: (-h.price * (1 - h.load), h.room.machine))
+    fullest_first = sorted(everything, key=lambda h: (-h.load, h.room.machine))
+    for host in candidates[:_MOST_LOOKS]:
+        if _can_be_emptied(host, fullest_first, zone_of):
             return host
     return None
+
+
+def _can_be_emptied(
+    host: Host, fullest_first: list[Host], zone_of: MutableMapping[str, str]
+) -> bool:
+    """Whether all replicas of a machine fit on others."""
+    taken: dict[str, Room] = {}
+    for job, attempt in host.replicas:
+        # Onto fuller machines only, or two of them would trade replicas for ever.
+        fuller = takewhile(lambda other: other.load >= host.load, fullest_first)
+        rooms = (taken.get(h.room.machine, h.room) for h in fuller if h is not host)
+        found = _fits_elsewhere(job, attempt, rooms, zone_of)
+        if found is None:
+            return False
+        room = taken.setdefault(found.machine, structs.replace(found))
+        room.take(job)
+    return True
--- a/mosswalk/metrics.py
+++ b/mosswalk/metrics.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import resource
 from collections.abc import Iterable
 from typing import TYPE_CHECKING
 
@@ -9,6 +10,10 @@
     from mosswalk.service import Controller
 
 
+_MB = 1024 * 1024
+_KB = 1024
+
+
 class Metrics:
     """Collects on demand; nothing is counted on the hot paths."""
 
@@ -49,6 +54,14 @@
             float(c.writer.backlog() + c.users_writer.backlog()),
         )
 
+        yield (
+            "memory_peak_bytes",
+            "The most memory that this process has held",
+            float(resource.getrusage(resource.RUSAGE_SELF).ru_maxrss * _KB),
+        )
+        limits = c.settings.params.machine_limits
+        yield "memory_limit_bytes", "Above this the process is ended", limits.mem_mb * _MB
+
     def render(self) -> bytes:
         """The text an operator's collector reads."""
         # Imported when first asked for: it costs start-up time and memory.
--- a/mosswalk/peers/__init__.py
+++ b/mosswalk/peers/__init__.py
@@ -27,7 +27,7 @@
 
 # An offer names each machine with room once a team, some 300 bytes each: 4,000 machines with room
 # for five teams are 6 MB. Only other controllers speak to this port.
-_MAX_MESSAGE_BYTES = 64 * 1024 * 1024
+MAX_MESSAGE_BYTES = 64 * 1024 * 1024
 
 
 class PeerError(Exception):
@@ -130,7 +130,7 @@
     async def poll(request: web.Request) -> web.Response:
         return web.Response(body=msgspec.msgpack.encode(await on_poll(await decoded(request, str))))
 
-    app = web.Application(client_max_size=_MAX_MESSAGE_BYTES)
+    app = web.Application(client_max_size=MAX_MESSAGE_BYTES)
     app.router.add_post("/offer", offer)
     app.router.add_post("/outcomes", outcomes)
     app.router.add_post("/withdrawn", withdrawn)
--- a/mosswalk/placement/capacity.py
+++ b/mosswalk/placement/capacity.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Container, Iterable
+from collections.abc import Container, Iterable, Mapping
 
 from msgspec import Struct, field
 
@@ -116,7 +116,7 @@
     return ZoneRule(spec.one_zone, -(-spec.tasks // 2) if spec.spread else spec.tasks)
 
 
-def zone_rule(job: Job, zone_of: dict[str, str]) -> ZoneRule | None:
+def zone_rule(job: Job, zone_of: Mapping[str, str]) -> ZoneRule | None:
     """The rule for a job; None if the zone of one of its machines is not known yet.
 
     An attempt on a machine nobody can tell the zone of might be anywhere, so a job with a rule
--- a/tests/fault_injection.py
+++ b/tests/fault_injection.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 from collections.abc import Callable, Coroutine, Iterable
 from dataclasses import dataclass
 from typing import Any
@@ -147,18 +148,44 @@
 
 async def _freeze(region: Simulation, trouble: Fault) -> None:
     """A controller stands still, and then goes on with what it had begun."""
-    name = _someone(region, trouble.pick)
+    await _freeze_one(region, _someone(region, trouble.pick), trouble.for_s)
+
+
+async def _freeze_one(region: Simulation, name: str, for_s: float) -> None:
     if name in region.network.hangs:
         return
     awake = asyncio.Event()
     region.network.hangs[name] = awake
     region.loop.frozen.setdefault(name, [])
-    await asyncio.sleep(trouble.for_s)
+    await asyncio.sleep(for_s)
     region.network.hangs.pop(name, None)
     region.loop.thaw(name)
     awake.set()
 
 
+async def _stalls(region: Simulation, trouble: Fault) -> None:
+    """A controller short of processor stands still again and again, about as long as its lease."""
+    until = region.now() + trouble.for_s
+    stalls = itertools.cycle((1.0, 2.6, 3.4, 0.4, 6.0))
+    while region.now() < until:
+        await _freeze(region, Fault(region.now(), "freeze", next(stalls), trouble.pick))
+        await asyncio.sleep(0.7)
+
+
+async def _slow_starts(region: Simulation, trouble: Fault) -> None:
+    """All controllers end at once, and each takes seconds from its start to its first answer."""
+    for name in list(region.controllers):
+        region.kill_controller(name)
+    await asyncio.sleep(1.0)
+    starting = []
+    for index, name in enumerate(region.names):
+        if name not in region.controllers:
+            region.start_controller(name)
+            late_s = min(trouble.for_s, 4.0) + 0.5 * index
+            starting.append(_freeze_one(region, name, late_s))
+    await asyncio.gather(*starting)
+
+
 async def _flag(region: Simulation, trouble: Fault, flag: str, names: Iterable[str]) -> None:
     workers = [region.workers[name] for name in names]
     for worker in workers:
@@ -282,6 +309,8 @@
     "deaf": _deaf,
     "die": _die,
     "freeze": _freeze,
+    "stalls": _stalls,
+    "slow_starts": _slow_starts,
     "hang": _hang,
     "late_reports": _late_reports,
     "late_writes": _late_writes,
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -70,6 +70,12 @@
         [T(30, "freeze", 25, 1), T(35, "cancel"), T(60, "freeze", 8, 1),
          T(62, "machines_cut", 10)], 14,
     ),
+    "leaders short of processor stall around their leases while users cancel": (
+        [T(20, "stalls", 70, 1), T(33, "cancel"), T(52, "cancel"), T(60, "machines_cut", 6)], 14,
+    ),
+    "all controllers are back at once, each with a slow start, jobs cancelled before": (
+        [T(30, "cancel"), T(30.2, "slow_starts", 4), T(60, "slow_starts", 2), T(63, "cancel")], 14,
+    ),
     "jobs are cancelled and their machines hang while leaders change": (
         [T(40, "cancel_and_hang", 70), T(41, "leaders_change", 60)], 14,
     ),
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -1,26 +1,39 @@
-"""A leader of 900 machines: what reports cost it, counted so that the verdict never varies."""
+"""Leaders of 900 and of 4,000 machines: counted work, so that the verdict never varies."""
 
 import asyncio
 from types import SimpleNamespace
 
+import msgspec
 import pytest
 from msgspec import Raw, structs
 
+from mosswalk import service
 from mosswalk.config import Team, load
-from mosswalk.fleet.inventory import Machine
+from mosswalk.config.operator import FactoryTuning
+from mosswalk.factory import consolidate
+from mosswalk.factory.loop import Factory, MachineView, Rent, View
+from mosswalk.fleet.inventory import Inventory, Machine
 from mosswalk.fleet.manager import FleetManager
+from mosswalk.fleet.outcome_sender import OutcomeSender
 from mosswalk.jobs.registry import JobRegistry
+from mosswalk.jobs.state import Draft, Place
+from mosswalk.peers import MAX_MESSAGE_BYTES
+from mosswalk.placement import preemption
+from mosswalk.placement.capacity import Room
 from mosswalk.store import records
-from mosswalk.store.records import TermRecord
+from mosswalk.store.records import Attempt, TermRecord
 from mosswalk.store.writer import Change
+from mosswalk.wire.peers import Offer, Outcome, SlotOffer, TeamOffer
 from mosswalk.wire.workers import Report, TaskReport
-from tests.standins import FakeClock, shape
+from tests.standins import LIMITS, FakeClock, shape
 from tests.test_config import write
 from tests.test_jobs import MirrorOf
 from tests.test_offers import place, submit
+from tests.test_placement import job as queued
 
 S = 1_000_000
 MACHINES = 900
+LARGE_FLEET = 4000
 
 
 class Led:
@@ -230,3 +243,185 @@
         assert await answer() == 421
 
     asyncio.run(run())
+
+
+def outcome_sender(led, tasks):
+    """A sender, with a job whose tasks are all reported done and none of whose ends is written."""
+    led.manager._leading = False
+    submit(led.mirror, tasks=tasks)
+    place(led.mirror, led.registry, tasks, "vm-000000")
+    told = []
+    owner = SimpleNamespace(outcomes=told.append)
+    sender = OutcomeSender(led.registry, led.leadership, owner, None, None, led.clock)
+    for index in range(tasks):
+        sender.reported(Outcome(f"j-000001/{index}", index + 1, "vm-000000", "done"))
+    sender.send_due()
+    return sender, told
+
+
+def test_an_outcome_costs_by_itself_however_many_wait_to_be_written(led):
+    sender, told = outcome_sender(led, tasks=200)
+    assert [len(message.outcomes) for message in told] == [200]
+    submit(led.mirror, id="j-000002", tasks=1)
+    job = led.registry.jobs["j-000002"]
+    draft = Draft(job, LIMITS)
+    draft.place(Place(0, "vm-000001", 1), 1)
+    led.mirror.commit(draft.change({}))
+    looks = []
+    attempts_on = led.registry.attempts_on
+    led.registry.attempts_on = lambda name: looks.append(name) or attempts_on(name)
+    sender.reported(Outcome("j-000002/0", 1, "vm-000001", "done"))
+    sender.send_new()
+    assert [len(message.outcomes) for message in told] == [200, 1]
+    assert looks == ["vm-000001"]
+    # What has been told is not told anew by another report, but is in its time.
+    sender.send_new()
+    assert len(told) == 2
+    led.clock.us += S
+    sender.send_due()
+    assert [len(message.outcomes) for message in told] == [200, 1, 201]
+
+
+def test_what_the_records_show_is_told_no_more(led):
+    sender, told = outcome_sender(led, tasks=3)
+    draft = Draft(led.registry.jobs["j-000001"], LIMITS)
+    draft.settle(0, 1, "done")
+    led.mirror.commit(draft.change({}))
+    led.clock.us += S
+    sender.send_due()
+    assert [o.task for o in told[1].outcomes] == ["j-000001/1", "j-000001/2"]
+
+
+def test_machines_that_are_gone_stay_known_while_the_list_or_a_late_copy_may_name_them():
+    inventory = Inventory()
+    for index in range(2 * LARGE_FLEET):
+        inventory.remove(f"vm-{index:06d}", index)
+    assert all(inventory.gone(f"vm-{index:06d}") for index in range(2 * LARGE_FLEET))
+    # Later only some of them are kept.
+    inventory.remove("vm-900000", 3600 * S)
+    assert inventory.gone("vm-900000") and not inventory.gone("vm-000000")
+
+
+def test_reading_the_list_of_a_large_fleet_leaves_most_cloud_calls_for_rents(led):
+    manager = led.manager
+    rps = manager._settings.params.cloud.rps
+    for count in (MACHINES, LARGE_FLEET):
+        for index in range(count):
+            manager.inventory.adopt(f"vm-{index:06d}", "small", "a", False, "up", 0)
+        pages = -(-count // 500)
+        assert pages / (manager._list_period_us() / S) <= rps / 4
+
+
+def test_a_large_fleet_is_called_over_within_a_lease(led):
+    manager, probed = led.manager, []
+    manager._command_sender.probe = lambda machine: probed.append(machine.name)
+    for index in range(LARGE_FLEET):
+        manager.inventory.adopt(f"vm-{index:06d}", "small", "a", False, "up", 0).address = "x"
+    for machine in manager.inventory.machines.values():
+        machine.hears = False
+    manager._since_us = led.clock.us
+    led.clock.us += 10 * S
+    turns = manager._lease_us // (S // 2)
+    for _ in range(turns):
+        manager._draw()
+        for name in probed:
+            manager.inventory.machines[name].hears = True
+    assert len(set(probed)) == LARGE_FLEET
+
+
+def test_one_pool_and_one_job_may_fill_a_large_fleet(led):
+    scaler = led.manager._scaler
+    submit(led.mirror, tasks=LARGE_FLEET, cpus=4.0, spot=False)
+    job = led.registry.jobs["j-000001"]
+    scaler._stuck = {"red": [job]}
+    (waiting,) = scaler.waiting()
+    assert waiting.count == LARGE_FLEET
+    pool = ("small", "a", False)
+    machines = [
+        MachineView(f"vm-{i}", pool, "up", 0, 0, True, None, 1.0) for i in range(LARGE_FLEET - 1)
+    ]
+    factory = Factory(FactoryTuning(high_dwell_s=0.0))
+    types = {"small": shape(zones=("a",))}
+    decided = factory.decide(View(0, types, machines, [waiting], 9))
+    assert any(isinstance(d, Rent) and pool in d.pools for d in decided)
+
+
+def test_room_on_a_large_fleet_fits_a_message_to_its_owner():
+    images = tuple(f"registry/team/image-{i:03d}" for i in range(10))
+    slots = tuple(
+        SlotOffer(f"vm-{i:06d}", "vembanad-mid", "kakkanad-hall", True, 1, 16_000, 0, 64_000,
+                  images, 0.123456, 6.6666666)
+        for i in range(LARGE_FLEET)
+    )  # fmt: skip
+    offer = Offer(7, tuple(TeamOffer(f"team-{i}", slots) for i in range(10)))
+    assert len(msgspec.msgpack.encode(offer)) < MAX_MESSAGE_BYTES
+
+
+def test_only_machines_that_are_looked_at_have_their_tasks_put_in_order(monkeypatch):
+    """Sorting all that runs on 4,000 machines took a quarter of the leader's time."""
+    ordered = []
+    order = preemption._order
+    monkeypatch.setattr(preemption, "_order", lambda v: ordered.append(v) or order(v))
+    small = queued("j-000002", tasks=LARGE_FLEET, cpus=1.0, priority="idle")
+    rooms, running = [], {}
+    for index in range(LARGE_FLEET):
+        name = f"vm-{index:06d}"
+        rooms.append(Room(name, "small", "a", False, 1, 0, 0, 16_000))
+        there = 4 if index % 1000 == 0 else 1
+        running[name] = [
+            preemption.Victim(small, Attempt(4 * index + i, 4 * index + i + 1, name, 1, 1))
+            for i in range(there)
+        ]
+    large = queued("j-000003", tasks=4, cpus=4.0, priority="prod")
+    victims = preemption.choose_victims(
+        [(large, 4)], rooms, running, {"red": Team("red")}, {}, {}, 16
+    )
+    assert len(victims) == 16 and len({v.attempt.machine for v in victims}) == 4
+    assert len(ordered) == 16
+
+
+def test_machines_to_empty_are_looked_for_in_a_bounded_part_of_a_large_fleet(monkeypatch):
+    """On a calm day each turn would copy all rooms for every machine with a few replicas."""
+    job = queued("j-000001", tasks=LARGE_FLEET, cpus=1.0, kind="daemon")
+    hosts = [
+        consolidate.Host(
+            Room(f"vm-{i:06d}", "small", "a", False, 1, 0, 0, 0), 0.25, 1.0,
+            [(job, Attempt(i, i + 1, f"vm-{i:06d}", 1, 1))], True,
+        )
+        for i in range(LARGE_FLEET)
+    ]  # fmt: skip
+    looks = []
+    monkeypatch.setattr(
+        consolidate, "_can_be_emptied", lambda host, *_: looks.append(host) or False
+    )
+    assert consolidate.to_empty(hosts, {}) is None
+    assert 0 < len(looks) <= 64
+
+
+def test_all_workers_of_a_large_fleet_may_connect_at_once(led, monkeypatch):
+    """After a takeover each of them turns to the new leader within a second."""
+    started, all_started = [], asyncio.Event()
+
+    class Site:
+        def __init__(self, runner, host, port, *, backlog, reuse_address):
+            started.append(backlog)
+
+        async def start(self):
+            if len(started) == 2:
+                all_started.set()
+
+    monkeypatch.setattr(service.web, "TCPSite", Site)
+    limits = structs.replace(
+        led.manager._settings.params.machine_limits, max_connections=LARGE_FLEET * 2
+    )
+    params = structs.replace(led.manager._settings.params, machine_limits=limits)
+    settings = structs.replace(led.manager._settings, params=params)
+
+    async def run():
+        work = asyncio.create_task(service.serve(settings))
+        await asyncio.wait_for(all_started.wait(), 10)
+        work.cancel()
+        await asyncio.gather(work, return_exceptions=True)
+
+    asyncio.run(run())
+    assert started == [LARGE_FLEET * 2] * 2
