--- a/mosswalk/fleet/manager.py
+++ b/mosswalk/fleet/manager.py
@@ -37,14 +37,14 @@
 from mosswalk.fleet.preempting import Preemptor
 from mosswalk.fleet.recent_workers import cut_from_workers
 from mosswalk.fleet.renting import FleetScaler
-from mosswalk.fleet.report_evaluation import evaluate_report
+from mosswalk.fleet.report_intake import ReportIntake
 from mosswalk.fleet.stale_starts import StaleStarts
 from mosswalk.fleet.stopping import StopRegistry
 from mosswalk.fleet.task_failures import TaskFailures
 from mosswalk.fleet.upkeep import Upkeep
 from mosswalk.fleet.withdrawing import WithdrawnTasks
 from mosswalk.jobs.registry import JobRegistry
-from mosswalk.jobs.state import Job, split_task_name, task_name
+from mosswalk.jobs.state import Job, task_name
 from mosswalk.leadership.actor import Leadership
 from mosswalk.placement.owner import Owner
 from mosswalk.store import records
@@ -57,8 +57,6 @@
 log = logging.getLogger(__name__)
 
 _PLAN_GAP_US = 50_000
-# In these phases a task's image is on its machine.
-_HAS_IMAGE = ("running", "gathering")
 # A plan is followed by a pause this many times as long, so that reports and health checks,
 # which wait for nothing else, get most of the processor's time however long plans take.
 _PLAN_REST = 4
@@ -139,8 +137,6 @@
         self._since_us = 0
         # Since when reports have been taken without a break: silence counts from then on only.
         self._listening_us = 0
-        # The epoch with which we began to lead: machines that have seen it hear us.
-        self._first_epoch = 0
         self._ticked_us = 0
         self._listed = False
         # Whether the cloud has told us of machine types and their prices since we began to lead.
@@ -175,6 +171,19 @@
             clock,
             sockets(settings.params.machine_limits.max_connections).workers,
         )
+        self._intake = ReportIntake(
+            workers,
+            self.inventory,
+            registry,
+            leadership,
+            self._offers,
+            self._outcome_sender,
+            self._command_sender,
+            self._stops,
+            self._failures,
+            self,
+            clock,
+        )
         self._failure_detector = FailureDetector(settings, self.inventory, leadership, clock)
         self._stale_starts = StaleStarts(self.inventory, registry, leadership, clock)
         self._withdrawn_tasks = WithdrawnTasks(
@@ -190,7 +199,7 @@
         registry.on_attempt.append(self._attempt_appeared)
         registry.on_withdrawn.append(self._withdrawn)
         registry.on_gang_ending.append(self._gang_ending)
-        mirror.after_batch(self._poke)
+        mirror.after_batch(self.fleet_changed)
         leadership.on_term.append(lambda: self.tell(TermBegan()))
 
     # Messages.
@@ -239,11 +248,12 @@
         self._leadership.outbid(report.epoch)
         if not self._leading or not self._leadership.may_answer():
             return self.follower_reports.answer(report)
-        orders = self._take_report(report, in_answer=True)
+        orders = self._intake.take(report, in_answer=True)
         answer = ReportAnswer(self._leadership.epoch(), tuple(orders))
         return 200, msgspec.json.encode(answer)
 
-    def _poke(self) -> None:
+    def fleet_changed(self) -> None:
+        """Have a plan made soon."""
         if self._leading and not self._plan_scheduled:
             self._plan_scheduled = True
             gap_us = max(_PLAN_GAP_US, self._plan_rest_us)
@@ -255,7 +265,7 @@
             log.info("leading in term %d", self._leadership.epoch())
             self._leading = True
             self._since_us = self._ticked_us = self._listening_us = self._clock.now_us()
-            self._first_epoch = self._leadership.epoch()
+            self._intake.begin(self._leadership.epoch())
             # Nobody led before us, so nobody rented anything: no need to wait for the list.
             self._first = self._leadership.epoch() <= 1
             self._listed = self._priced = False
@@ -291,123 +301,14 @@
         heard = sum(1 for m in up if now_us - m.seen_us < self._report_us)
         return cut_from_workers(len(up), heard, elsewhere)
 
-    def _take_report(self, report: Report, *, in_answer: bool) -> list[Order]:
-        now_us = self._clock.now_us()
-        if self.inventory.gone(report.machine):
-            return []
-        machine = self.inventory.machines.get(report.machine)
-        if machine is None:
-            if report.epoch < self._first_epoch:
-                # Perhaps a late copy from a machine long gone. If it is there, it hears our
-                # epoch with this answer and reports again within half a second.
-                return []
-            log.info(
-                "machine %s (%s, %s) reports unexpected", report.machine, report.type, report.zone
-            )
-            machine = self.inventory.adopt(
-                report.machine, report.type, report.zone, report.spot, "booting", now_us
-            )
-        if not machine.newer(report):
-            # A late report: what it lists is as old as it is.
-            return []
-        before = self._standing(machine)
-        if in_answer:
-            machine.note_hearing(report, now_us, self._lease_us)
-        else:
-            machine.answered_orders()
-        machine.address = report.address
-        machine.tenure, machine.tick = report.tenure, report.tick
-        machine.epoch = max(machine.epoch, report.epoch)
-        if report.epoch >= self._first_epoch:
-            self._heard_from(machine, report, in_answer=in_answer)
-        elif machine.phase != "up" and in_answer and machine.probed_us is None:
-            # Just up, as it seems: let it see our epoch at once, and it can be used at once.
-            self._command_sender.probe(machine)
-        changed = machine.note_tasks(report.tasks)
-        evaluation = evaluate_report(
-            machine,
-            report,
-            self._registry.attempts_on(machine.name),
-            self._leadership.epoch(),
-            lambda job_id, index, number: self._stops.grace_s(machine, (job_id, index, number)),
-            self._startable,
-            may_start=self._leadership.may_start(),
-            in_answer=in_answer,
-        )
-        # A report from before our time may be a late copy: it proves nothing.
-        outcomes = evaluation.outcomes if machine.hears else []
-        for outcome in outcomes:
-            self._outcome_sender.reported(outcome)
-        if outcomes:
-            self._outcome_sender.send_new()
-        if changed or before != self._standing(machine):
-            # Most reports tell nothing new: room and plans are worked out for the others only.
-            self._offers.touch(machine.name)
-            self._poke()
-        for order in evaluation.orders:
-            log.debug("order to %s: %s", machine.name, order)
-        if in_answer:
-            shown = tuple(order for order in evaluation.orders if self._next_report_shows(order))
-            machine.told(self._leadership.epoch(), shown, now_us)
-        return evaluation.orders
-
-    def _startable(self, job_id: str) -> bool:
-        job = self._registry.jobs.get(job_id)
-        return job is not None and job.startable
-
-    def _next_report_shows(self, order: Order) -> bool:
-        """Whether a machine's next report tells if it has carried out an order.
-
-        A gang's task that is being stopped may be reported as running until all of them exit.
-        """
-        split = split_task_name(order.task)
-        job = self._registry.jobs.get(split[0]) if split is not None else None
-        return order.op != "kill" or job is None or not job.is_gang
-
-    def _standing(self, machine: Machine) -> tuple[object, ...]:
-        """All that a report can change of whether and how a machine is used, besides its tasks."""
-        return (
-            machine.tenure,
-            machine.phase,
-            machine.hears,
-            machine.rumoured,
-            machine.deaf_since_us is None,
-            machine.notice_until_us is None,
-            machine.distrusted,
-            machine.releasing is None,
-            self._offers.quiet(machine),
-        )
-
-    def _heard_from(self, machine: Machine, report: Report, *, in_answer: bool) -> None:
-        """A machine has reported under an epoch of ours, so it is there and hears us."""
-        now_us = self._clock.now_us()
-        machine.hears = True
-        if machine.phase != "up":
-            self._came_up(machine, report)
-            machine.seen_us = now_us
-        if machine.rumoured:
-            machine.rumoured = False
-            machine.type, machine.zone, machine.spot = report.type, report.zone, report.spot
-        if in_answer or now_us - self._since_us < self._lease_us:
-            # Answers to /orders do not renew its lease: a machine whose reports do not reach us
-            # is well only as long as it may still be on its way from the leader before us.
-            machine.seen_us = now_us
-        had_notice = machine.notice_until_us is not None
-        machine.notice_until_us = (
-            now_us + to_us(report.notice_s) if report.notice_s is not None else None
-        )
-        if machine.notice_until_us is not None and not had_notice:
-            log.info("machine %s: notice of %.1f s", machine.name, report.notice_s)
-        if report.tasks != machine.reported:
-            self._learn(machine, report)
-
-    def _came_up(self, machine: Machine, report: Report) -> None:
+    def machine_up(self, machine: Machine) -> None:
+        """Use a machine that has come up, and give back what its rent's copies hold."""
         took_us = self._clock.now_us() - machine.rented_us
         log.info(
             "machine %s (%s, %s) is up after %.1f s",
             machine.name,
-            report.type,
-            report.zone,
+            machine.type,
+            machine.zone,
             took_us / SECOND_US,
         )
         for back in self._scaler.came_up(machine, self._calls_left()):
@@ -416,24 +317,6 @@
     def _calls_left(self) -> int:
         return self.cloud.calls_left() if self.cloud is not None else 0
 
-    def _learn(self, machine: Machine, report: Report) -> None:
-        """What new exits tell of the machine, and running tasks of its cached images."""
-        shape = self.inventory.types.get(machine.type)
-        for task in report.tasks:
-            before = machine.tasks.get((task.task, task.attempt))
-            if before is not None and before.phase == task.phase:
-                continue
-            split = split_task_name(task.task)
-            job = self._registry.jobs.get(split[0]) if split is not None else None
-            if task.phase in _HAS_IMAGE and job is not None and shape is not None:
-                machine.used_image(job.spec.image, job.spec.image_gb, shape.cache_gb)
-            if task.phase != "exited" or split is None:
-                continue
-            self._failures.note_exit(machine, split[0], task)
-        if self._failures.distrusts(machine) and not machine.distrusted:
-            machine.distrusted = True
-            self._release(machine, "fails its tasks")
-
     def _attempt_appeared(self, name: str, job: Job, attempt: records.Attempt) -> None:
         """A placing is committed: start it without waiting for the machine's next report."""
         if not self._leading or not self._leadership.may_start() or not job.startable:
@@ -466,7 +349,7 @@
             self._leadership.outbid(message.report.epoch)
             self._check_lead()
             if self._leading:
-                self._take_report(message.report, in_answer=False)
+                self._intake.take(message.report, in_answer=False)
 
     # Room and offers.
 
@@ -493,7 +376,7 @@
 
     def _offer_done(self, message: OfferDone) -> None:
         self._offers.answered(message.node, message.answer)
-        self._poke()
+        self.fleet_changed()
 
     # Periodic work.
 
@@ -504,6 +387,7 @@
             # day: a leader woke after 20 s and released every machine, deposed as it was.
             log.info("was stopped for %.1f s", (now_us - self._ticked_us) / SECOND_US)
             self._since_us = self._listening_us = now_us
+            self._intake.resume()
         self._ticked_us = now_us
         answers = self._leadership.may_answer()
         if not answers:
@@ -525,7 +409,7 @@
         self._offers.refresh()
         self._draw()
         for machine, why in self._withdrawn_tasks.overdue(self._listening_us):
-            self._release(machine, why, served=False)
+            self.release(machine, why, served=False)
         self._suspect()
         self._outcome_sender.send_due()
         self._stale_starts.check()
@@ -546,7 +430,7 @@
         if now_us - self._moved_us > _MOVE_US and self._ready_to_rent():
             self._moved_us = now_us
             self._move(waiting)
-        self._poke()
+        self.fleet_changed()
 
     def _list_period_us(self) -> int:
         pages = 1 + len(self.inventory.machines) // MAX_LIST
@@ -590,7 +474,7 @@
         if now_us - self._listening_us < TAKEOVER_US or not self._leadership.may_start():
             return
         for machine, why in self._failure_detector.overdue(self._listening_us):
-            self._release(machine, why)
+            self.release(machine, why)
 
     # The cloud.
 
@@ -606,7 +490,7 @@
                     machine = self.inventory.adopt(
                         row.name, row.type, row.zone, row.spot, "booting", now_us
                     )
-                self._release(machine, "failed")
+                self.release(machine, "failed")
                 continue
             if machine is None:
                 # One that runs may have had its say to the leader before us; it is not late in
@@ -636,7 +520,7 @@
             if machine.address is None:
                 machine.address = row.address
 
-    def _release(self, machine: Machine, why: str, *, served: bool = True) -> None:
+    def release(self, machine: Machine, why: str, *, served: bool = True) -> None:
         """Return a machine; where not ``served``, though the state service is not heard."""
         if machine.releasing is None:
             log.info("releasing %s (%s, %s): %s", machine.name, machine.type, machine.zone, why)
@@ -653,7 +537,7 @@
             return
         if self._registry.attempts_on(machine.name) or self._offers.reserved(machine.name):
             return
-        self._release(machine, back.why)
+        self.release(machine, back.why)
 
     def _released(self, names: Iterable[str]) -> None:
         for name in names:
@@ -665,7 +549,7 @@
             self._offers.touch(name)
             self._command_sender.forget(name)
         self._outcome_sender.send_new()
-        self._poke()
+        self.fleet_changed()
 
     def _know_types(self) -> None:
         """Take machine types from the records until the cloud tells them, with prices.
@@ -683,7 +567,7 @@
             self._offers.touch(name)
         if not self._upkeep.types_written(types):
             self.spawn(self._write_types(types))
-        self._poke()
+        self.fleet_changed()
 
     async def _write_types(self, types: tuple[MachineType, ...]) -> None:
         if not await self._upkeep.write_types(types):
--- /dev/null
+++ b/mosswalk/fleet/report_intake.py
@@ -0,0 +1,217 @@
+"""Takes the workers' reports: what each tells of its machine and its tasks, and what to order.
+
+Only while this controller leads. A report counts by its order, its epoch and whether its machine
+hears us: docs/design.md, "What a report proves".
+"""
+
+from __future__ import annotations
+
+import logging
+from typing import Protocol
+
+from mosswalk.actors import Clock, to_us
+from mosswalk.config import WorkerLimits
+from mosswalk.fleet.command_sender import CommandSender
+from mosswalk.fleet.inventory import Inventory, Machine
+from mosswalk.fleet.offers import Offers
+from mosswalk.fleet.outcome_sender import OutcomeSender
+from mosswalk.fleet.report_evaluation import evaluate_report
+from mosswalk.fleet.stopping import StopRegistry
+from mosswalk.fleet.task_failures import TaskFailures
+from mosswalk.jobs.registry import JobRegistry
+from mosswalk.jobs.state import split_task_name
+from mosswalk.leadership.actor import Leadership
+from mosswalk.wire.workers import Order, Report
+
+log = logging.getLogger(__name__)
+
+# In these phases a task's image is on its machine.
+_HAS_IMAGE = ("running", "gathering")
+
+
+class ReportListener(Protocol):
+    """Who acts on what reports tell."""
+
+    def fleet_changed(self) -> None:
+        """A report has told something that a plan may be made of."""
+
+    def machine_up(self, machine: Machine) -> None:
+        """A machine reports for the first time."""
+
+    def release(self, machine: Machine, why: str) -> None:
+        """Return a machine."""
+
+
+def next_report_shows(registry: JobRegistry, order: Order) -> bool:
+    """Whether a machine's next report tells if it has carried out an order.
+
+    A gang's task that is being stopped may be reported as running until all of them exit.
+    """
+    split = split_task_name(order.task)
+    job = registry.jobs.get(split[0]) if split is not None else None
+    return order.op != "kill" or job is None or not job.is_gang
+
+
+class ReportIntake:
+    """Keeps the inventory in step with reports, and answers them with orders."""
+
+    def __init__(
+        self,
+        limits: WorkerLimits,
+        inventory: Inventory,
+        registry: JobRegistry,
+        leadership: Leadership,
+        offers: Offers,
+        outcome_sender: OutcomeSender,
+        command_sender: CommandSender,
+        stops: StopRegistry,
+        failures: TaskFailures,
+        listener: ReportListener,
+        clock: Clock,
+    ) -> None:
+        self._lease_us = to_us(limits.lease_s)
+        self._inventory = inventory
+        self._registry = registry
+        self._leadership = leadership
+        self._offers = offers
+        self._outcome_sender = outcome_sender
+        self._command_sender = command_sender
+        self._stops = stops
+        self._failures = failures
+        self._listener = listener
+        self._clock = clock
+        # The epoch with which we began to lead: machines that have seen it hear us.
+        self._first_epoch = 0
+        # Since when workers have been finding their way to us.
+        self._since_us = 0
+
+    def begin(self, first_epoch: int) -> None:
+        """This controller begins to lead."""
+        self._first_epoch = first_epoch
+        self.resume()
+
+    def resume(self) -> None:
+        """This controller stood still: workers may have turned to others meanwhile."""
+        self._since_us = self._clock.now_us()
+
+    def take(self, report: Report, *, in_answer: bool) -> list[Order]:
+        """Take a report, or the answer to /orders; the orders for the answer to a report."""
+        now_us = self._clock.now_us()
+        if self._inventory.gone(report.machine):
+            return []
+        machine = self._inventory.machines.get(report.machine)
+        if machine is None:
+            if report.epoch < self._first_epoch:
+                # Perhaps a late copy from a machine long gone. If it is there, it hears our
+                # epoch with this answer and reports again within half a second.
+                return []
+            log.info(
+                "machine %s (%s, %s) reports unexpected", report.machine, report.type, report.zone
+            )
+            machine = self._inventory.adopt(
+                report.machine, report.type, report.zone, report.spot, "booting", now_us
+            )
+        if not machine.newer(report):
+            # A late report: what it lists is as old as it is.
+            return []
+        before = self._standing(machine)
+        if in_answer:
+            machine.note_hearing(report, now_us, self._lease_us)
+        else:
+            machine.answered_orders()
+        machine.address = report.address
+        machine.tenure, machine.tick = report.tenure, report.tick
+        machine.epoch = max(machine.epoch, report.epoch)
+        if report.epoch >= self._first_epoch:
+            self._heard_from(machine, report, in_answer=in_answer)
+        elif machine.phase != "up" and in_answer and machine.probed_us is None:
+            # Just up, as it seems: let it see our epoch at once, and it can be used at once.
+            self._command_sender.probe(machine)
+        changed = machine.note_tasks(report.tasks)
+        evaluation = evaluate_report(
+            machine,
+            report,
+            self._registry.attempts_on(machine.name),
+            self._leadership.epoch(),
+            lambda job_id, index, number: self._stops.grace_s(machine, (job_id, index, number)),
+            self._startable,
+            may_start=self._leadership.may_start(),
+            in_answer=in_answer,
+        )
+        # A report from before our time may be a late copy: it proves nothing.
+        outcomes = evaluation.outcomes if machine.hears else []
+        for outcome in outcomes:
+            self._outcome_sender.reported(outcome)
+        if outcomes:
+            self._outcome_sender.send_new()
+        if changed or before != self._standing(machine):
+            # Most reports tell nothing new: room and plans are worked out for the others only.
+            self._offers.touch(machine.name)
+            self._listener.fleet_changed()
+        for order in evaluation.orders:
+            log.debug("order to %s: %s", machine.name, order)
+        if in_answer:
+            shown = tuple(
+                order for order in evaluation.orders if next_report_shows(self._registry, order)
+            )
+            machine.told(self._leadership.epoch(), shown, now_us)
+        return evaluation.orders
+
+    def _startable(self, job_id: str) -> bool:
+        job = self._registry.jobs.get(job_id)
+        return job is not None and job.startable
+
+    def _standing(self, machine: Machine) -> tuple[object, ...]:
+        """All that a report can change of whether and how a machine is used, besides its tasks."""
+        return (
+            machine.tenure,
+            machine.phase,
+            machine.hears,
+            machine.rumoured,
+            machine.deaf_since_us is None,
+            machine.notice_until_us is None,
+            machine.distrusted,
+            machine.releasing is None,
+            self._offers.quiet(machine),
+        )
+
+    def _heard_from(self, machine: Machine, report: Report, *, in_answer: bool) -> None:
+        """A machine has reported under an epoch of ours, so it is there and hears us."""
+        now_us = self._clock.now_us()
+        machine.hears = True
+        if machine.phase != "up":
+            self._listener.machine_up(machine)
+            machine.seen_us = now_us
+        if machine.rumoured:
+            machine.rumoured = False
+            machine.type, machine.zone, machine.spot = report.type, report.zone, report.spot
+        if in_answer or now_us - self._since_us < self._lease_us:
+            # Answers to /orders do not renew its lease: a machine whose reports do not reach us
+            # is well only as long as it may still be on its way from the leader before us.
+            machine.seen_us = now_us
+        had_notice = machine.notice_until_us is not None
+        machine.notice_until_us = (
+            now_us + to_us(report.notice_s) if report.notice_s is not None else None
+        )
+        if machine.notice_until_us is not None and not had_notice:
+            log.info("machine %s: notice of %.1f s", machine.name, report.notice_s)
+        if report.tasks != machine.reported:
+            self._learn(machine, report)
+
+    def _learn(self, machine: Machine, report: Report) -> None:
+        """What new exits tell of the machine, and running tasks of its cached images."""
+        shape = self._inventory.types.get(machine.type)
+        for task in report.tasks:
+            before = machine.tasks.get((task.task, task.attempt))
+            if before is not None and before.phase == task.phase:
+                continue
+            split = split_task_name(task.task)
+            job = self._registry.jobs.get(split[0]) if split is not None else None
+            if task.phase in _HAS_IMAGE and job is not None and shape is not None:
+                machine.used_image(job.spec.image, job.spec.image_gb, shape.cache_gb)
+            if task.phase != "exited" or split is None:
+                continue
+            self._failures.note_exit(machine, split[0], task)
+        if self._failures.distrusts(machine) and not machine.distrusted:
+            machine.distrusted = True
+            self._listener.release(machine, "fails its tasks")
--- a/tests/test_gangs.py
+++ b/tests/test_gangs.py
@@ -10,8 +10,8 @@
 
 from mosswalk.config import Team
 from mosswalk.fleet.inventory import Inventory, Machine
-from mosswalk.fleet.manager import FleetManager
 from mosswalk.fleet.report_evaluation import evaluate_report
+from mosswalk.fleet.report_intake import next_report_shows
 from mosswalk.fleet.stale_starts import StaleStarts
 from mosswalk.fleet.stopping import StopRegistry
 from mosswalk.jobs.admission import never_runs
@@ -362,7 +362,7 @@
 
 def test_a_gang_told_to_stop_may_go_on_for_a_while_without_being_taken_for_deaf(tmp_path):
     _, _, registry, _, _ = _owner(tmp_path, 2)
-    shows = partial(FleetManager._next_report_shows, SimpleNamespace(_registry=registry))
+    shows = partial(next_report_shows, registry)
     assert shows(Order("run", "j-000001/0", 1)) and shows(Order("reap", "j-000001/0", 1))
     assert not shows(Order("kill", "j-000001/0", 1, 3.0))
     assert shows(Order("kill", "j-000002/0", 1, 3.0))
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -72,7 +72,7 @@
     registry, owner = JobRegistry(mirror), SimpleNamespace(outcomes=lambda message: None)
     leadership = Led()
     manager = FleetManager(settings, mirror, registry, None, leadership, owner, None, None, clock)
-    manager._leading, manager._first_epoch = True, 3
+    manager._leading, manager._intake._first_epoch = True, 3
     manager._plan_scheduled = False
     manager.inventory.types = {"small": shape()}
     for i in range(MACHINES):
@@ -87,7 +87,7 @@
         return inner(machine)
 
     offers._build = build
-    manager._poke = lambda: setattr(counts, "plans", counts.plans + 1)
+    manager.fleet_changed = lambda: setattr(counts, "plans", counts.plans + 1)
     return SimpleNamespace(
         manager=manager,
         mirror=mirror,
