--- a/tests/test_startup.py
+++ b/tests/test_startup.py
@@ -32,16 +32,20 @@
 HASHED, CHECKED = 0b01, 0b10
 
 
+def printed_by(script, directory):
+    """What a script for a fresh interpreter prints."""
+    command = [sys.executable, "-c", script]
+    done = subprocess.run(command, cwd=directory, check=True, capture_output=True, text=True)
+    return done.stdout
+
+
 def test_serving_imports_no_library_that_it_does_not_need():
     script = (
         "import json, sys; before = set(sys.modules);"
         "import mosswalk.cli.serve, mosswalk.service, uvloop;"
         "print(json.dumps(sorted(set(sys.modules) - before)))"
     )
-    done = subprocess.run(
-        [sys.executable, "-c", script], cwd=ROOT, check=True, capture_output=True, text=True
-    )
-    loaded = json.loads(done.stdout)
+    loaded = json.loads(printed_by(script, ROOT))
     packages = {name.partition(".")[0] for name in loaded if "cython" not in name}
     assert packages - LIBRARIES - set(sys.stdlib_module_names) == {"mosswalk"}
     # Users' commands, and the libraries of what only some controllers are asked for.
@@ -95,7 +99,4 @@
 
 def test_no_certificates_are_read_for_a_service_without_tls(checkout):
     script = "import os, runpy; runpy.run_path('run.py'); print(os.environ['SSL_CERT_FILE'])"
-    done = subprocess.run(
-        [sys.executable, "-c", script], cwd=checkout, check=True, capture_output=True, text=True
-    )
-    assert done.stdout.strip() == os.devnull
+    assert printed_by(script, checkout).strip() == os.devnull
