Failure detection: suspicion by learnt patience, verdicts that end a lease

One late heartbeat or two failed tries must not move teams, and a death should be noticed before the lease has run out.

Change: package mosswalk/detection (patience by a DDSketch of each link's gaps, suspicion with damping, quorum, own stalls, an authority fence after a freeze, a lease renewer beside the main loop), turned on by a detection block (deploy/detection.hcl). Terms record verdicts; suspected controllers keep their teams and get nothing new.

Ruled out: a version of its own in the upgrade gate, which could not be taken back; the term says detects instead, guarded by all presences.

--- a/mosswalk/api/__init__.py
+++ b/mosswalk/api/__init__.py
@@ -8,6 +8,7 @@
 
 import msgspec
 from aiohttp import web
+from msgspec import Struct
 
 from mosswalk.api.jobs import JobService, Reply
 from mosswalk.wire.users import MAX_BODY_BYTES, Failure
@@ -62,6 +63,7 @@
     on_report: Callable[[Report], tuple[int, bytes]],
     healthy: Callable[[], bool],
     metrics: Callable[[], bytes],
+    peers: Callable[[], Struct] | None = None,
 ) -> web.Application:
     """The application on ``serve_on``."""
 
@@ -94,6 +96,12 @@
     async def show_metrics(_request: web.Request) -> web.Response:
         return web.Response(body=metrics(), content_type="text/plain")
 
+    async def show_peers(_request: web.Request) -> web.Response:
+        if peers is None:
+            body = error_body("the failure detector is off")
+            return web.Response(status=404, body=body, content_type=_JSON)
+        return web.Response(body=msgspec.json.encode(peers()), content_type=_JSON)
+
     # Reports of machines with many tasks may be larger than what users may send.
     app = web.Application(client_max_size=_MAX_REPORT_BYTES, middlewares=[json_errors])
     app.router.add_post("/api/jobs", submit)
@@ -101,5 +109,6 @@
     app.router.add_post("/api/jobs/{id}/withdraw", withdraw)
     app.router.add_get("/healthz", health)
     app.router.add_get("/metrics", show_metrics)
+    app.router.add_get("/peers", show_peers)
     app.router.add_post("/v1/report", report)
     return app
--- a/mosswalk/cli/__init__.py
+++ b/mosswalk/cli/__init__.py
@@ -41,7 +41,8 @@
     withdraw = commands.add_parser("withdraw", help="cancel a job")
     for command in (status, withdraw):
         command.add_argument("job", help="the job's id, like j-000412")
-    for command in (submit, status, withdraw):
+    peers = commands.add_parser("peers", help="show who reaches whom, and who is suspected")
+    for command in (submit, status, withdraw, peers):
         command.add_argument(
             "--server", required=True, metavar="HOST:PORT", help="a controller's serve_on"
         )
--- a/mosswalk/cli/client.py
+++ b/mosswalk/cli/client.py
@@ -1,4 +1,4 @@
-"""Submit, status and withdraw, as a user's command."""
+"""The commands that talk to a controller: submit, status, withdraw and peers."""
 
 from __future__ import annotations
 
@@ -7,6 +7,7 @@
 from pathlib import Path
 
 import aiohttp
+import msgspec
 
 from mosswalk.cli import EXIT_OK, EXIT_REFUSED, EXIT_UNAVAILABLE, EXIT_USAGE
 from mosswalk.config import split_address
@@ -34,6 +35,8 @@
         except InvalidJobError as error:
             raise _CommandError(f"{options.file}: {error}") from None
         return "POST", "/api/jobs", body
+    if options.command == "peers":
+        return "GET", "/peers", None
     if not JOB_ID.match(options.job):
         raise _CommandError(f"{options.job}: a job's id looks like j-000412")
     if options.command == "status":
@@ -41,6 +44,21 @@
     return "POST", f"/api/jobs/{options.job}/withdraw", b""
 
 
+def _show(options: argparse.Namespace, text: str) -> int:
+    """Print a good answer."""
+    if options.command != "peers":
+        print(text)
+        return EXIT_OK
+    from mosswalk.cli.peers import table
+
+    try:
+        print(table(text.encode()))
+    except msgspec.DecodeError as error:
+        print(f"mosswalk: {options.server}: unreadable answer: {error}", file=sys.stderr)
+        return EXIT_UNAVAILABLE
+    return EXIT_OK
+
+
 async def run(options: argparse.Namespace) -> int:
     """Carry out a user's command; its exit code."""
     try:
@@ -62,8 +80,7 @@
         print(f"mosswalk: {options.server}: {reason}", file=sys.stderr)
         return EXIT_UNAVAILABLE
     if status in (200, 201):
-        print(text)
-        return EXIT_OK
+        return _show(options, text)
     again = f" (try again after {retry} s)" if retry else ""
     print(f"mosswalk: status {status}: {text}{again}", file=sys.stderr)
     return EXIT_REFUSED if status in (400, 404, 413, 422) else EXIT_UNAVAILABLE
--- /dev/null
+++ b/mosswalk/cli/peers.py
@@ -0,0 +1,62 @@
+"""What ``mosswalk peers`` prints: the other controllers, and who reaches whom."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Sequence
+
+import msgspec
+
+from mosswalk.detection.view import DetectionView, MatrixCell, PeerView
+
+_PEER_TITLES = ("CONTROLLER", "STATE", "SUSPECTED", "FOR", "HEARD", "PATIENCE", "LEVEL", "WHY")
+
+
+def _aligned(rows: Iterable[Sequence[str]]) -> str:
+    """Columns as wide as their widest cell."""
+    lines = [tuple(row) for row in rows]
+    widths = [max(len(cell) for cell in column) for column in zip(*lines, strict=True)]
+    return "\n".join(
+        "  ".join(cell.ljust(width) for cell, width in zip(line, widths, strict=True)).rstrip()
+        for line in lines
+    )
+
+
+def _peer_row(peer: PeerView) -> tuple[str, ...]:
+    return (
+        peer.node,
+        peer.state,
+        "yes" if peer.suspected else "no",
+        f"{peer.since_s:.1f} s",
+        f"{peer.heard_s:.2f} s ago",
+        f"{peer.patience_s:.2f} s",
+        f"{peer.level:.2f}",
+        peer.why,
+    )
+
+
+def _matrix(cells: Sequence[MatrixCell]) -> str:
+    """One row an observer, one column a controller that it hears."""
+    nodes = sorted({cell.node for cell in cells})
+    by_pair = {(cell.observer, cell.node): cell for cell in cells}
+    rows = [("HEARS", *nodes)]
+    for observer in sorted({cell.observer for cell in cells}):
+        found = (by_pair.get((observer, node)) for node in nodes)
+        told = (f"{c.state} {c.heard_s:.1f} s" if c is not None else "-" for c in found)
+        rows.append((observer, *told))
+    return _aligned(rows)
+
+
+def table(body: bytes) -> str:
+    """The text for a view; msgspec.DecodeError if it is none."""
+    view = msgspec.json.decode(body, type=DetectionView)
+    force = "in force" if view.in_force else "not in force: not all controllers take part"
+    parts = [
+        f"{view.node}: term {view.term}, leader {view.leader or 'none'}; detection {force};"
+        f" stalls here {view.stalls}, freezes {view.freezes}",
+        _aligned([_PEER_TITLES, *map(_peer_row, view.peers)]),
+        _matrix(view.matrix),
+    ]
+    for verdict in view.verdicts:
+        by = f", agreed by {', '.join(verdict.observers)}" if verdict.observers else ""
+        parts.append(f"verdict of this term: {verdict.node} ({verdict.run}): {verdict.reason}{by}")
+    return "\n\n".join(parts)
--- a/mosswalk/config/operator.py
+++ b/mosswalk/config/operator.py
@@ -15,6 +15,8 @@
 import msgspec
 from msgspec import Struct
 
+from mosswalk.config.detection import DetectionTuning, load_detection
+
 
 class FactoryTuning(Struct, frozen=True):
     """The open parameters of the VM factory (paper: tau, mu, nu, k, lambda)."""
@@ -58,6 +60,8 @@
     fleet: FleetTuning = FleetTuning()
     leadership: LeadershipTuning = LeadershipTuning()
     shares: dict[str, float] = {}
+    # None: the failure detector is off.
+    detection: DetectionTuning | None = None
 
 
 def _plain(value: Any) -> Any:
@@ -121,4 +125,7 @@
     except msgspec.ValidationError as error:
         raise ValueError(str(error)) from None
     _check_ranges(tuning)
+    if "detection" in raw:
+        detection = load_detection(_single(raw, "detection"), tuning.leadership.ttl_s)
+        tuning = msgspec.structs.replace(tuning, detection=detection)
     return tuning
--- /dev/null
+++ b/mosswalk/detection/suspicion.py
@@ -0,0 +1,142 @@
+"""What one controller holds of another: heard or not, suspected or not. No I/O."""
+
+from __future__ import annotations
+
+from msgspec import Struct
+
+from mosswalk.actors import to_us
+from mosswalk.config.detection import DetectionTuning
+from mosswalk.detection.patience import LinkPatience
+from mosswalk.wire.peers import LinkState
+
+# A suspicion that comes within this many times ``settle_most_s`` of the last one is a recurrence.
+_RECURS_WITHIN = 2
+
+
+class StateChange(Struct, frozen=True):
+    """A change of what is held of a controller."""
+
+    node: str
+    before: LinkState
+    after: LinkState
+    silence_us: int
+    patience_us: int
+
+
+class PeerSuspicion:
+    """One other controller as this one hears it.
+
+    ``state`` is what is heard now. ``suspected`` outlives it by the damping, so that a link that
+    flaps does not have work given to and kept from its controller in turns.
+    """
+
+    def __init__(self, node: str, tuning: DetectionTuning, now_us: int) -> None:
+        self.node = node
+        self.run = ""
+        self.patience = LinkPatience(tuning)
+        self.heard_us = now_us
+        self.state: LinkState = "alive"
+        self.state_since_us = now_us
+        # Connections to it have been refused since it was last heard.
+        self.refused = False
+        # It has said that it doesn't hear us.
+        self.misses_us = False
+        # A third controller has reached it, or told that it hears it.
+        self.heard_elsewhere_us: int | None = None
+        # Third controllers have been asked in this silence, and have answered or not.
+        self.probed = False
+        # A quorum's verdict has been given in this silence.
+        self.judged = False
+        self.suspected = False
+        self.suspected_us = now_us
+        self.suspicions = 0
+        self.false_suspicions = 0
+        self._settle_us = to_us(tuning.settle_s)
+        self._settle_most_us = to_us(tuning.settle_most_s)
+        self._recurrences = 0
+        self._restored_us: int | None = None
+        self._returned_us: int | None = None
+
+    def silence_us(self, now_us: int, listening_us: int) -> int:
+        """How long it has not been heard while this process listened."""
+        return now_us - max(self.heard_us, listening_us)
+
+    def level(self, now_us: int, listening_us: int) -> float:
+        """The silence in parts of the patience; suspicion begins at 1."""
+        return self.silence_us(now_us, listening_us) / self.patience.patience_us()
+
+    def heard(self, run: str, now_us: int, listening_us: int) -> None:
+        """A sign of life has come."""
+        if run != self.run:
+            self._restarted(run, now_us)
+        elif self.heard_us >= listening_us:
+            # Else a part of the gap was our own.
+            self.patience.add(now_us - self.heard_us)
+        self.heard_us = now_us
+        self.refused = self.probed = self.judged = False
+
+    def _restarted(self, run: str, now_us: int) -> None:
+        """Another run: what was held of the one before says nothing of it."""
+        self.run = run
+        self.state = "alive"
+        self.state_since_us = now_us
+        self.misses_us = self.suspected = False
+        self.heard_elsewhere_us = None
+        self._returned_us = None
+
+    def needs_probe(self, now_us: int, listening_us: int) -> bool:
+        """Whether others are to be asked before anything is concluded from its silence."""
+        return not self.probed and self.level(now_us, listening_us) > 1
+
+    def observe(self, now_us: int, listening_us: int) -> StateChange | None:
+        """Decide the state anew; what has changed."""
+        before = self.state
+        self.state = self._judge(now_us, listening_us)
+        if self.state != before:
+            self.state_since_us = now_us
+        self._damp(now_us)
+        if self.state == before:
+            return None
+        silence_us = self.silence_us(now_us, listening_us)
+        return StateChange(self.node, before, self.state, silence_us, self.patience.patience_us())
+
+    def _judge(self, now_us: int, listening_us: int) -> LinkState:
+        patience_us = self.patience.patience_us()
+        if self.silence_us(now_us, listening_us) > patience_us:
+            if self.state in ("alive", "unhearing") and not self.probed:
+                return self.state
+            elsewhere_us = self.heard_elsewhere_us
+            if elsewhere_us is not None and now_us - elsewhere_us <= patience_us:
+                return "unheard"
+            return "silent"
+        if self.state in ("silent", "unheard") and self.heard_us < listening_us:
+            # We stood still ourselves: it has been neither heard again nor missed for long enough.
+            return self.state
+        return "unhearing" if self.misses_us else "alive"
+
+    def _damp(self, now_us: int) -> None:
+        if self.state != "alive":
+            self._returned_us = None
+            if not self.suspected:
+                self._begin_suspicion(now_us)
+            return
+        if not self.suspected:
+            return
+        if self._returned_us is None:
+            self._returned_us = now_us
+        if now_us - self._returned_us >= self.damping_us():
+            self.suspected = False
+            self.false_suspicions += 1
+            self._restored_us = now_us
+
+    def _begin_suspicion(self, now_us: int) -> None:
+        self.suspected = True
+        self.suspected_us = now_us
+        self.suspicions += 1
+        window_us = _RECURS_WITHIN * self._settle_most_us
+        recurs = self._restored_us is not None and now_us - self._restored_us < window_us
+        self._recurrences = self._recurrences + 1 if recurs else 0
+
+    def damping_us(self) -> int:
+        """How long it must be heard without a break before it is suspected no more."""
+        return min(self._settle_most_us, self._settle_us << min(self._recurrences, 16))
--- a/mosswalk/fleet/offers.py
+++ b/mosswalk/fleet/offers.py
@@ -285,7 +285,7 @@
             return []
         now_us = self._clock.now_us()
         self._drop_reservations()
-        busy = {r.node for r in self._reservations}
+        busy = {r.node for r in self._reservations} | self._leadership.suspected()
         unplaced = self._registry.unplaced
         if not any(unplaced.values()):
             # In calm times most plans find nothing to place: no need to look at the machines.
--- a/mosswalk/leadership/actor.py
+++ b/mosswalk/leadership/actor.py
@@ -7,12 +7,19 @@
 import logging
 import random
 from collections.abc import Callable, Mapping
+from typing import Protocol
 
-from msgspec import Raw
+from msgspec import UNSET, Raw, structs
 
 from mosswalk.actors import Clock, to_us
 from mosswalk.config import Settings
-from mosswalk.leadership.terms import answer_bound_us, needs_new_term, next_term
+from mosswalk.leadership.terms import (
+    all_detect,
+    answer_bound_us,
+    needs_new_term,
+    next_term,
+    verdicts_between,
+)
 from mosswalk.leadership.upgrade import eligible, may_upgrade
 from mosswalk.store import records
 from mosswalk.store.client import (
@@ -23,7 +30,7 @@
     UnknownOutcomeError,
 )
 from mosswalk.store.mirror import Mirror
-from mosswalk.store.records import Presence, TermRecord
+from mosswalk.store.records import Presence, TermRecord, Verdict
 from mosswalk.wire import state as wire
 
 log = logging.getLogger(__name__)
@@ -35,6 +42,29 @@
 _YIELD_US = 5_000_000
 
 
+class Authority(Protocol):
+    """Whether a controller that may have stood still can rely on what it last knew."""
+
+    def may_act(self) -> bool:
+        """Whether it may act at all."""
+
+    def may_keep_alive(self) -> bool:
+        """Whether it may renew workers' leases."""
+
+    async def confirm(self) -> None:
+        """Return once it may act; RefusedError if the state service does not say so now."""
+
+
+class Suspicions(Protocol):
+    """What a failure detector holds of the other controllers."""
+
+    def suspected(self) -> frozenset[str]:
+        """Those that get nothing new."""
+
+    def verdict(self, node: str, run: str) -> Verdict:
+        """Why a controller's teams, or the lead, are given to others."""
+
+
 class Leadership:
     """This controller's place among the others."""
 
@@ -57,8 +87,12 @@
         self._teams = [team.name for team in settings.params.teams]
         workers = settings.params.workers
         self.bound_us = answer_bound_us(workers.lease_s, workers.cancel_s)
-        self._lease: int | None = None
-        self._lease_us = 0
+        # Read and written by a lease renewer beside the main loop, if there is one.
+        self.lease: int | None = None
+        self.lease_us = 0
+        # Both are there if failure detection is on.
+        self.authority: Authority | None = None
+        self.suspicions: Suspicions | None = None
         self._absent = 0
         self.term: TermRecord | None = None
         self.term_version = 0
@@ -77,6 +111,8 @@
         self._yields_until_us = 0
         self._unreachable: frozenset[str] = frozenset()
         self._wake = asyncio.Event()
+        # A lease that is known to have ended need not wait for the next renewal to be replaced.
+        self._lease_lost = asyncio.Event()
         self.on_term: list[Callable[[], None]] = []
         mirror.listen(records.TERM_KEY, self._term_changed)
         mirror.listen(records.LEADER_KEY, self._lead_changed)
@@ -98,7 +134,9 @@
 
     def may_answer(self) -> bool:
         """Whether a leader may still renew workers' leases."""
-        confirmed_us = min(self._lease_us, self._mirror.confirmed_us)
+        if self.authority is not None and not self.authority.may_keep_alive():
+            return False
+        confirmed_us = min(self.lease_us, self._mirror.confirmed_us)
         return self.leads() and self._clock.now_us() - confirmed_us < self.bound_us
 
     def may_keep(self) -> bool:
@@ -117,9 +155,18 @@
 
     def may_start(self) -> bool:
         """Whether a leader may start tasks: only while it hears from the state service."""
+        if not self._may_act():
+            return False
         fresh_us = self._clock.now_us() - self._mirror.confirmed_us
         return self.leads() and fresh_us < to_us(5.0)
 
+    def _may_act(self) -> bool:
+        return self.authority is None or self.authority.may_act()
+
+    def suspected(self) -> frozenset[str]:
+        """Controllers that get nothing new."""
+        return self.suspicions.suspected() if self.suspicions is not None else frozenset()
+
     def leader(self) -> str | None:
         """Which controller leads, if any is known to."""
         if self._lead is None or self.term is None:
@@ -204,18 +251,20 @@
 
     # The lease.
 
-    def _me(self) -> Raw:
-        return Raw(records.encode(self._presence()))
+    def _me(self, lease: int | None) -> Raw:
+        return Raw(records.encode(self._presence(lease)))
 
-    def _presence(self) -> Presence:
-        return Presence(self.node, self.run_id, records.OUR_VERSION)
+    def _presence(self, lease: int | None) -> Presence:
+        """What others see of us; the lease only if it may be ended by a verdict."""
+        told = UNSET if self.suspicions is None or lease is None else lease
+        return Presence(self.node, self.run_id, records.OUR_VERSION, told)
 
     async def _take_lease(self) -> None:
         asked_us = self._clock.now_us()
         lease = await self._client.grant(self._ttl_us // 1000)
         await self._write_presence(lease)
-        self._lease = lease
-        self._lease_us = asked_us
+        self.lease = lease
+        self.lease_us = asked_us
         log.info("present: lease %d", lease)
 
     async def _restore_presence(self) -> None:
@@ -229,40 +278,43 @@
             self._absent = 0
             return
         self._absent += 1
-        if self._absent < 3 or self._lease is None:
+        if self._absent < 3 or self.lease is None:
             # The mirror may only be behind.
             return
         log.info("our presence shows %s: written again", shown)
-        await self._write_presence(self._lease)
+        await self._write_presence(self.lease)
         self._absent = 0
 
     async def _write_presence(self, lease: int) -> None:
         key = records.NODE_PREFIX + self.node
         await self._client.commit(
-            wire.Transaction((), (wire.Write(key=key, value=self._me(), lease=lease),))
+            wire.Transaction((), (wire.Write(key=key, value=self._me(lease), lease=lease),))
         )
 
     async def keep_lease(self) -> None:
         """Hold a lease for ever."""
         while True:
             try:
-                if self._lease is None:
+                if self.lease is None:
                     await self._take_lease()
                 else:
                     asked_us = self._clock.now_us()
-                    await self._client.renew(self._lease, self._ttl_us / 1e6)
-                    self._lease_us = asked_us
+                    await self._client.renew(self.lease, self._ttl_us / 1e6)
+                    self.lease_us = asked_us
                     await self._restore_presence()
             except NoLeaseError:
-                log.info("lease %s has ended", self._lease)
-                self._lease = None
+                log.info("lease %s has ended", self.lease)
+                self.lease = None
                 continue
             except (RefusedError, UnknownOutcomeError) as error:
                 log.debug("lease: %s", error)
                 await asyncio.sleep(0.2 * self._rng.uniform(0.8, 1.2))
                 continue
             self._wake.set()
-            await asyncio.sleep(self._renew_s * self._rng.uniform(0.9, 1.1))
+            self._lease_lost.clear()
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(self._renew_s * self._rng.uniform(0.9, 1.1)):
+                    await self._lease_lost.wait()
 
     # Elections and terms.
 
@@ -273,9 +325,11 @@
                 async with asyncio.timeout(0.5):
                     await self._wake.wait()
             self._wake.clear()
-            if not self._mirror.loaded or self._lease is None:
+            if not self._mirror.loaded or self.lease is None:
                 continue
             try:
+                if self.authority is not None:
+                    await self.authority.confirm()
                 await self._consider()
             except ConflictError as conflict:
                 self._log_once(f"term not changed: {conflict}")
@@ -317,15 +371,23 @@
             restarted = any(run != self.term.runs.get(node, run) for node, run in up.items())
             gone = any(node not in up for node in self.term.runs)
             cut_off = self._unreachable & set(self.term.owners.values())
-            settled = now_us - self._runs_since_us > _SETTLE_US
+            suspected = self.suspected()
+            # Teams are not moved about while somebody is suspected: no term by suspicion alone.
+            settled = now_us - self._runs_since_us > _SETTLE_US and not suspected
             wanted = max(self._outbid, self._wanted_above + 1) > self.term.term
             if wanted or (
-                needs_new_term(self.term, up, self._unreachable)
+                needs_new_term(self.term, up, self._unreachable, suspected)
                 and (restarted or gone or cut_off or settled)
             ):
                 await self._stand("controllers changed")
             elif may_upgrade(self.term, self._controllers, self.present):
                 await self._stand("all controllers have the new version", upgrade=True)
+            elif (
+                self.suspicions is not None
+                and not self.term.detects
+                and all_detect(self._controllers, self.present)
+            ):
+                await self._stand("all controllers detect failures", detects=True)
 
     async def _give_up_lead(self) -> None:
         """Free the leader's key; who takes it makes a new term, which outdates this one."""
@@ -342,10 +404,44 @@
 
     def _up(self) -> dict[str, str]:
         """The runs that a term may name, ours whether or not its presence is visible yet."""
-        return eligible(self.term, {**self.present, self.node: self._presence()})
+        return eligible(self.term, {**self.present, self.node: self._presence(self.lease)})
+
+    def _with_detection(
+        self, term: TermRecord, suspicions: Suspicions, *, detects: bool
+    ) -> TermRecord:
+        """The term with what failure detection records in it."""
+        in_force = detects or (self.term is not None and self.term.detects)
+        verdicts = verdicts_between(self.term, term, self._unreachable, suspicions.verdict)
+        for verdict in verdicts:
+            by = f" by {', '.join(verdict.observers)}" if verdict.observers else ""
+            self._log_once(f"verdict on {verdict.node}: {verdict.reason}{by}")
+        return structs.replace(term, detects=in_force, verdicts=verdicts)
+
+    async def confirm_authority(self) -> None:
+        """Renew the lease, and read the term and the leader's key, after having stood still."""
+        led, epoch = self.leads(), self.epoch()
+        lease, asked_us = self.lease, self._clock.now_us()
+        if lease is not None:
+            try:
+                await self._client.renew(lease, self._ttl_us / 1e6)
+                self.lease_us = asked_us
+            except NoLeaseError:
+                log.info("lease %d has ended while we stood still", lease)
+                if self.lease == lease:
+                    self.lease = None
+                    self._lease_lost.set()
+        if self._mirror.loaded:
+            await self._mirror.read_now((records.TERM_KEY, records.LEADER_KEY))
+        if led and not self.leads():
+            log.info(
+                "deposed while we stood still: led term %d, now %s leads in term %d",
+                epoch,
+                self.leader() or "nobody",
+                self.epoch(),
+            )
 
-    async def _stand(self, why: str, *, upgrade: bool = False) -> None:
-        if self._lease is None:
+    async def _stand(self, why: str, *, upgrade: bool = False, detects: bool = False) -> None:
+        if self.lease is None:
             return
         term = next_term(
             self.term,
@@ -355,19 +451,24 @@
             self._outbid,
             self._unreachable,
             records.OUR_VERSION if upgrade else records.FIRST_VERSION,
+            self.suspected(),
         )
+        if self.suspicions is not None:
+            term = self._with_detection(term, self.suspicions, detects=detects)
         guards: tuple[wire.Guard, ...] = (
             wire.Guard(records.LEADER_KEY, self._lead_version),
             wire.Guard(records.TERM_KEY, self.term_version),
         )
-        if upgrade:
+        if upgrade or detects:
             keys = [records.NODE_PREFIX + node for node in self._controllers]
             guards += tuple(wire.Guard(key, self._mirror.version(key)) for key in keys)
         writes = (
-            wire.Write(key=records.LEADER_KEY, value=self._me(), lease=self._lease),
+            wire.Write(key=records.LEADER_KEY, value=self._me(self.lease), lease=self.lease),
             wire.Write(key=records.TERM_KEY, value=Raw(records.encode_term(term))),
         )
         self._log_once(f"standing for term {term.term}: {why}")
+        if not self._may_act():
+            raise RefusedError("stood still while standing")
         revision = await self._client.commit(wire.Transaction(guards, writes))
         # Wait for the mirror to show it, so that the same term is not written twice.
         for _ in range(100):
--- a/mosswalk/peers/__init__.py
+++ b/mosswalk/peers/__init__.py
@@ -12,12 +12,15 @@
 from aiohttp import web
 
 from mosswalk.config import Settings
+from mosswalk.peers.errors import PeerError, PeerRefusedError
 from mosswalk.wire.peers import (
+    Heartbeat,
     Offer,
     OfferAnswer,
     Outcomes,
     PeerStatus,
     PollAnswer,
+    ProbeAnswer,
     Withdrawals,
 )
 
@@ -30,10 +33,6 @@
 MAX_MESSAGE_BYTES = 64 * 1024 * 1024
 
 
-class PeerError(Exception):
-    """No usable answer; nothing follows from it about the other controller."""
-
-
 class PeerClient:
     """Speaks to the other controllers by name."""
 
@@ -52,6 +51,9 @@
                 timeout=aiohttp.ClientTimeout(total=timeout_s, sock_connect=1.0),
             ) as response:
                 body = await response.read()
+        except aiohttp.ClientConnectorError as error:
+            refused = isinstance(error.os_error, ConnectionRefusedError)
+            raise (PeerRefusedError if refused else PeerError)(str(error)) from None
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             raise PeerError(str(error) or type(error).__name__) from None
         if response.status != 200:
@@ -76,6 +78,14 @@
         """What another controller sees of the state service and of the workers."""
         return await self._ask(node, "/sight", None, 1.0, PeerStatus)
 
+    async def exchange(self, node: str, heartbeat: Heartbeat) -> PeerStatus:
+        """The same, with heartbeats; one without failure detection does not send its own."""
+        return await self._ask(node, "/sight", heartbeat, 1.0, PeerStatus)
+
+    async def probe(self, node: str, subject: str) -> ProbeAnswer:
+        """Have a controller try to reach a third one."""
+        return await self._ask(node, "/probe", subject, 1.5, ProbeAnswer)
+
     async def poll(self, node: str, job_id: str) -> PollAnswer:
         """Have another controller ask the state service about a job."""
         return await self._ask(node, "/poll", job_id, 1.2, PollAnswer)
@@ -92,9 +102,10 @@
 def peer_app(
     on_offer: Callable[[Offer], Awaitable[OfferAnswer]],
     on_outcomes: Callable[[Outcomes], None],
-    sees: Callable[[], PeerStatus],
+    on_status: Callable[[Heartbeat | None], PeerStatus],
     on_poll: Callable[[str], Awaitable[PollAnswer]],
     on_withdrawn: Callable[[Withdrawals], None],
+    on_probe: Callable[[str], Awaitable[ProbeAnswer]] | None = None,
 ) -> web.Application:
     """The port that other controllers speak to."""
 
@@ -102,9 +113,8 @@
         try:
             return msgspec.msgpack.decode(await request.read(), type=kind)
         except msgspec.DecodeError as error:
-            log.error(
-                "controller at %s: malformed %s dropped: %s", request.remote, kind.__name__, error
-            )
+            name = getattr(kind, "__name__", str(kind))
+            log.error("controller at %s: malformed %s dropped: %s", request.remote, name, error)
             raise web.HTTPBadRequest from None
 
     async def offer(request: web.Request) -> web.Response:
@@ -124,8 +134,17 @@
         on_withdrawn(await decoded(request, Withdrawals))
         return web.Response()
 
-    async def sight(_request: web.Request) -> web.Response:
-        return web.Response(body=msgspec.msgpack.encode(sees()))
+    async def status(request: web.Request) -> web.Response:
+        # Without failure detection the body is nil.
+        heartbeat: Heartbeat | None = await decoded(request, Heartbeat | None)  # type: ignore[arg-type]
+        return web.Response(body=msgspec.msgpack.encode(on_status(heartbeat)))
+
+    async def probe(request: web.Request) -> web.Response:
+        if on_probe is None:
+            raise web.HTTPNotFound
+        return web.Response(
+            body=msgspec.msgpack.encode(await on_probe(await decoded(request, str)))
+        )
 
     async def poll(request: web.Request) -> web.Response:
         return web.Response(body=msgspec.msgpack.encode(await on_poll(await decoded(request, str))))
@@ -134,6 +153,7 @@
     app.router.add_post("/offer", offer)
     app.router.add_post("/outcomes", outcomes)
     app.router.add_post("/withdrawn", withdrawn)
-    app.router.add_post("/sight", sight)
+    app.router.add_post("/sight", status)
+    app.router.add_post("/probe", probe)
     app.router.add_post("/poll", poll)
     return app
--- a/mosswalk/service.py
+++ b/mosswalk/service.py
@@ -6,10 +6,11 @@
 import logging
 import random
 from collections.abc import Coroutine
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import aiohttp
 from aiohttp import web
+from msgspec import UNSET
 
 from mosswalk.actors import Clock, SystemClock, run_forever, to_us
 from mosswalk.api import users_app
@@ -17,12 +18,14 @@
 from mosswalk.cloud.actor import CloudCaller
 from mosswalk.cloud.client import CloudClient
 from mosswalk.config import Settings, split_address
+from mosswalk.config.detection import DetectionTuning
 from mosswalk.config.sockets import sockets
 from mosswalk.fleet.manager import FleetManager
 from mosswalk.jobs.registry import JobRegistry
 from mosswalk.leadership.actor import Leadership
 from mosswalk.metrics import Metrics
-from mosswalk.peers import PeerClient, PeerError, peer_app
+from mosswalk.peers import PeerClient, peer_app
+from mosswalk.peers.errors import PeerError
 from mosswalk.peers.health import Health
 from mosswalk.peers.withdrawal_broadcast import WithdrawalBroadcast
 from mosswalk.placement.owner import Owner
@@ -30,7 +33,10 @@
 from mosswalk.store.client import StateClient
 from mosswalk.store.mirror import Mirror
 from mosswalk.store.writer import GroupWriter
-from mosswalk.wire.peers import PeerStatus, PollAnswer, Withdrawals
+from mosswalk.wire.peers import Heartbeat, PeerStatus, PollAnswer, Withdrawals
+
+if TYPE_CHECKING:
+    from mosswalk.detection.detector import Detector
 
 log = logging.getLogger(__name__)
 
@@ -101,9 +107,13 @@
             lambda: self.mirror.confirmed_us,
             clock,
             self.leadership.leads,
-            self.leadership.note_unreachable,
+            self._note_unreachable,
             self._visitors_elsewhere,
         )
+        self.detector: Detector | None = None
+        tuning = settings.tuning.detection
+        if tuning is not None:
+            self.detector = self._detector(tuning, clock, rng)
         self.job_service.elsewhere = self._poll_elsewhere
         self.job_service.gangs_allowed = self.leadership.gangs_allowed
         self.withdrawal_broadcast = WithdrawalBroadcast(
@@ -126,8 +136,32 @@
         """Whether users' requests can be taken here."""
         return self.mirror.loaded and not self.health.alone
 
-    def _sees(self) -> PeerStatus:
-        return PeerStatus(self.health.fresh(), self.manager.follower_reports.recent_workers.count())
+    def _detector(self, tuning: DetectionTuning, clock: Clock, rng: random.Random) -> Detector:
+        # Imported here: without it, it must cost nothing.
+        from mosswalk.detection.detector import Detector
+        from mosswalk.detection.fence import AuthorityFence, CommitGate
+
+        fence = AuthorityFence(to_us(tuning.floor_s), clock, self.leadership)
+        detector = Detector(
+            self.settings, tuning, self.leadership, fence, self.peers, self.client, clock, rng
+        )
+        self.leadership.authority = fence
+        self.leadership.suspicions = detector
+        self.writer.gate = self.users_writer.gate = CommitGate(fence, self.mirror)
+        return detector
+
+    def _note_unreachable(self, nodes: frozenset[str]) -> None:
+        """Two failed tries of the leader are a verdict only where no failure detector gives one."""
+        if self.detector is None or not self.detector.in_force():
+            self.leadership.note_unreachable(nodes)
+
+    def peer_status(self, heartbeat: Heartbeat | None) -> PeerStatus:
+        """What this controller sees, for another one that asks."""
+        fresh, strays = self.health.fresh(), self.manager.follower_reports.recent_workers.count()
+        answer = None
+        if heartbeat is not None and self.detector is not None:
+            answer = self.detector.arrived(heartbeat)
+        return PeerStatus(fresh, strays, UNSET if answer is None else answer)
 
     def withdrawn_elsewhere(self, message: Withdrawals) -> None:
         """Another controller has told users of withdrawals: put them into the mirror.
@@ -155,13 +189,21 @@
 
     def apps(self) -> tuple[web.Application, web.Application]:
         """The applications for users and workers, and for other controllers."""
-        users = users_app(self.job_service, self.manager.report, self.healthy, self.metrics.render)
+        detector = self.detector
+        users = users_app(
+            self.job_service,
+            self.manager.report,
+            self.healthy,
+            self.metrics.render,
+            detector.view if detector is not None else None,
+        )
         return users, peer_app(
             self.owner.offer,
             self.owner.outcomes,
-            self._sees,
+            self.peer_status,
             self.job_service.poll_for_other,
             self.withdrawn_elsewhere,
+            detector.probe if detector is not None else None,
         )
 
     def work(self) -> list[Coroutine[Any, Any, None]]:
@@ -170,7 +212,7 @@
         The writers alone are not begun again when they fail: commits under way would be
         left without a kind, so the process ends.
         """
-        kept = (
+        kept = [
             self.mirror.run,
             self.leadership.keep_lease,
             self.leadership.run,
@@ -180,9 +222,31 @@
             self.cloud.run_releases,
             self.health.run,
             self.withdrawal_broadcast.run,
-        )
+        ]
+        if self.detector is not None:
+            fence = self.detector.fence
+            kept += [self.detector.run, fence.run, fence.run_confirmations]
         return [self.writer.run(), self.users_writer.run(), *(run_forever(loop) for loop in kept)]
 
+    def start_lease_renewer(self) -> None:
+        """Renew the lease from a thread when the main loop is late."""
+        if self.detector is None:
+            return
+        from mosswalk.detection.renewer import LeaseRenewer
+
+        tuning = self.settings.tuning
+        assert tuning.detection is not None
+        self.detector.renewer = LeaseRenewer(
+            self.settings.outside.state,
+            self.leadership,
+            self.detector.fence,
+            SystemClock(),
+            ttl_s=tuning.leadership.ttl_s,
+            renew_s=tuning.leadership.renew_s,
+            progress_s=tuning.detection.progress_s,
+        )
+        self.detector.renewer.start()
+
 
 async def listen(app: web.Application, address: str, backlog: int = 512) -> web.AppRunner:
     """Serve an application; after a takeover up to ``backlog`` connections come at once."""
@@ -213,6 +277,7 @@
         most = settings.params.machine_limits.max_connections
         await listen(users, settings.serve_on, most)
         await listen(peers, settings.cluster_listen, most)
+        controller.start_lease_renewer()
         log.info("%s serves on %s", settings.host_name, settings.serve_on)
         # None of these ever returns.
         await asyncio.gather(*controller.work())
--- a/mosswalk/store/client.py
+++ b/mosswalk/store/client.py
@@ -151,6 +151,12 @@
         if status != 200:
             raise RefusedError(f"status {status}")
 
+    async def end_lease(self, lease: int) -> None:
+        """End a lease at once, with all that hangs on it, if it has not ended already."""
+        status, _ = await self._call("DELETE", f"/holds/{lease}")
+        if status not in (200, 404):
+            raise RefusedError(f"status {status}")
+
     async def watch(self, prefix: str, after: int, hold_ms: int) -> wire.Events:
         """Wait for changes after a revision."""
         path = f"/follow?starts={prefix}&after={after}&hold_ms={hold_ms}"
--- a/mosswalk/store/mirror.py
+++ b/mosswalk/store/mirror.py
@@ -134,6 +134,17 @@
                 self.apply_read(key, bytes(row.value), row.version)
         self.batch_done()
 
+    async def read_now(self, keys: tuple[str, ...]) -> None:
+        """Read keys as they are now, deleted ones too, without waiting for the watch."""
+        for key in keys:
+            page = await self._client.read_range(key, None, 1)
+            row = next((row for row in page.rows if row.key == key), None)
+            if row is not None:
+                self.apply_read(key, bytes(row.value), row.version)
+            elif self.version(key):
+                self.apply_read(key, None, page.revision)
+        self.batch_done()
+
     async def _load(self) -> None:
         after: str | None = None
         revision = 0
--- a/mosswalk/store/records.py
+++ b/mosswalk/store/records.py
@@ -14,7 +14,7 @@
 from typing import Literal
 
 import msgspec
-from msgspec import Struct, field
+from msgspec import UNSET, Struct, UnsetType, field
 
 from mosswalk.wire.cloud import MachineType
 from mosswalk.wire.users import JobSpec, Phase
@@ -164,6 +164,19 @@
     done: int = field(name="d", default=0)
 
 
+VerdictReason = Literal["lease", "quorum", "cut_off"]
+
+
+class Verdict(Struct, frozen=True, omit_defaults=True):
+    """Why a controller's teams, or the lead, were given to others."""
+
+    node: str
+    run: str
+    reason: VerdictReason
+    # Who agreed that it is silent.
+    observers: tuple[str, ...] = ()
+
+
 class TermRecord(Struct, frozen=True):
     """Who leads, and who places for which team. The term is the epoch workers see."""
 
@@ -174,6 +187,9 @@
     runs: dict[str, str] = {}
     # What every controller of this term can do; never lowered.
     version: int = FIRST_VERSION
+    # Whether all controllers took part in failure detection when a term first said so.
+    detects: bool = False
+    verdicts: tuple[Verdict, ...] = ()
 
 
 class _StoredTerm(Struct, frozen=True, omit_defaults=True):
@@ -189,6 +205,8 @@
     fenced_leader: str | None = field(name="lead", default=None)
     runs: dict[str, str] = {}
     version: int = FIRST_VERSION
+    detects: bool = False
+    verdicts: tuple[Verdict, ...] = ()
 
 
 class Presence(Struct, frozen=True):
@@ -197,6 +215,8 @@
     node: str
     run: str
     version: int = FIRST_VERSION
+    # Its lease, by which a verdict can fence it; told only if it takes part in detection.
+    lease: int | UnsetType = UNSET
 
 
 decode_job_record = msgspec.json.Decoder(JobRecord).decode
@@ -218,6 +238,8 @@
             fenced_leader=term.leader if fenced else None,
             runs=term.runs,
             version=term.version,
+            detects=term.detects,
+            verdicts=term.verdicts,
         )
     )
 
@@ -228,4 +250,12 @@
     leader = stored.fenced_leader if stored.leader is None else stored.leader
     if leader is None:
         raise msgspec.ValidationError("a term without a leader")
-    return TermRecord(stored.term, leader, stored.owners, stored.runs, stored.version)
+    return TermRecord(
+        stored.term,
+        leader,
+        stored.owners,
+        stored.runs,
+        stored.version,
+        stored.detects,
+        stored.verdicts,
+    )
--- a/mosswalk/store/writer.py
+++ b/mosswalk/store/writer.py
@@ -12,6 +12,8 @@
 import logging
 import random
 from collections import deque
+from collections.abc import Mapping
+from typing import Protocol
 
 from msgspec import Raw, Struct
 
@@ -38,6 +40,13 @@
 _REJECTED_PAUSE_S = 1.0
 
 
+class CommitGate(Protocol):
+    """Who is asked right before a commit is sent."""
+
+    async def admit(self, guards: Mapping[str, int], *, sent_before: bool) -> None:
+        """Return if it may be sent; RefusedError if not now, ConflictError if it must fail."""
+
+
 class Change(Struct):
     """Puts and deletes that are applied together, if the guards hold."""
 
@@ -84,6 +93,7 @@
         self._queue: deque[_Waiting] = deque()
         self._wake = asyncio.Event()
         self._broken: BaseException | None = None
+        self.gate: CommitGate | None = None
 
     async def commit(self, change: Change) -> int:
         """The revision of the change; ConflictError, RefusedError or UnknownOutcomeError."""
@@ -193,6 +203,8 @@
         pause_s = 0.1
         while True:
             try:
+                if self.gate is not None:
+                    await self.gate.admit(guards, sent_before=unknown)
                 revision = await self._client.commit(transaction)
             except ConflictError as conflict:
                 self._sort_out(group, set(conflict.failed), conflict)
--- a/mosswalk/wire/peers.py
+++ b/mosswalk/wire/peers.py
@@ -4,7 +4,7 @@
 
 from typing import Literal
 
-from msgspec import Struct, field
+from msgspec import UNSET, Struct, UnsetType, field
 
 OutcomeKind = Literal["done", "error", "stopped", "refused", "lost"]
 
@@ -65,12 +65,45 @@
     outcomes: tuple[Outcome, ...]
 
 
+LinkState = Literal["alive", "silent", "unheard", "unhearing"]
+
+
+class LinkRow(Struct, frozen=True, array_like=True, gc=False):
+    """What a controller knows of another one: an observer's row of who reaches whom."""
+
+    node: str
+    run: str
+    state: LinkState
+    # How long ago the observer heard it.
+    heard_ms: int
+    # Whether connections to it are refused, as a dead process does.
+    refused: bool
+
+
+class Heartbeat(Struct, frozen=True):
+    """A sign of life, and whom its sender hears. Ages are durations: no two clocks are compared."""
+
+    node: str
+    run: str
+    # The sender stood still a moment ago: what it does not hear tells nothing.
+    stalled: bool
+    rows: tuple[LinkRow, ...] = ()
+
+
+class ProbeAnswer(Struct, frozen=True):
+    """Whether a controller could be reached from a third one."""
+
+    reached: bool
+
+
 class PeerStatus(Struct, frozen=True):
     """What another controller sees: whether the state service serves it, and who turns to it."""
 
     fresh: bool
     # Machines whose workers came to it of late although it does not lead.
     stray_workers: int = field(name="visitors", default=0)
+    # Sent to those who sent theirs, if the failure detector is on.
+    heartbeat: Heartbeat | UnsetType = UNSET
 
 
 class Withdrawal(Struct, frozen=True):
--- a/tests/fault_injection.py
+++ b/tests/fault_injection.py
@@ -8,8 +8,9 @@
 from dataclasses import dataclass
 from typing import Any
 
+from mosswalk.config.operator import Tuning
 from tests.simulated_services import LEASE_S
-from tests.simulation import CANCEL_S, Simulation, need
+from tests.simulation import CANCEL_S, DEFAULT_TUNING, Simulation, need
 from tests.standins import spec
 from tests.virtual import play
 
@@ -357,9 +358,14 @@
 
 
 async def _day(
-    seed: int, troubles: list[Fault], jobs: int, out: list[Simulation], kinds: tuple[str, ...]
+    seed: int,
+    troubles: list[Fault],
+    jobs: int,
+    out: list[Simulation],
+    kinds: tuple[str, ...],
+    tuning: Tuning,
 ) -> None:
-    region = Simulation(seed)
+    region = Simulation(seed, tuning=tuning)
     out.append(region)
     region.start()
     await asyncio.sleep(FIRST_S)
@@ -394,9 +400,13 @@
 
 
 def play_day(
-    seed: int, troubles: list[Fault], jobs: int = 14, kinds: tuple[str, ...] = KINDS
+    seed: int,
+    troubles: list[Fault],
+    jobs: int = 14,
+    kinds: tuple[str, ...] = KINDS,
+    tuning: Tuning = DEFAULT_TUNING,
 ) -> Simulation:
     """Play a day; the region with what was broken and counted."""
     out: list[Simulation] = []
-    play(_day(seed, troubles, jobs, out, kinds))
+    play(_day(seed, troubles, jobs, out, kinds, tuning))
     return out[0]
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -67,6 +67,7 @@
         app.router.add_post("/commit", self.commit)
         app.router.add_post("/holds", self.grant)
         app.router.add_post("/holds/{id}/touch", self.touch)
+        app.router.add_delete("/holds/{id}", self.end)
         app.router.add_get("/follow", self.follow)
         return app
 
@@ -129,6 +130,14 @@
         self.deadlines[lease] = (time.monotonic() + ttl, ttl)
         return web.json_response({})
 
+    async def end(self, request):
+        self._check(request)
+        lease = int(request.match_info["id"])
+        if self.deadlines.pop(lease, None) is None:
+            return web.Response(status=404)
+        self.store.end_lease(lease)
+        return web.json_response({})
+
     async def follow(self, request):
         self._check(request)
         prefix, after = request.query["starts"], int(request.query["after"])
--- a/tests/simulated_services.py
+++ b/tests/simulated_services.py
@@ -53,6 +53,11 @@
             lease = int(url.path.split("/")[2])
             if lease not in self.leases:
                 return 404, b"{}"
+            if method == "DELETE":
+                del self.leases[lease]
+                self.store.end_lease(lease)
+                self._notify()
+                return 200, b"{}"
             ttl = self.leases[lease][1]
             self.leases[lease] = (self.region.now() + ttl, ttl)
             return 200, b"{}"
--- a/tests/simulation.py
+++ b/tests/simulation.py
@@ -30,7 +30,7 @@
 )
 from mosswalk.config.operator import Tuning
 from mosswalk.service import Controller
-from mosswalk.wire.peers import Offer, Outcomes, Withdrawals
+from mosswalk.wire.peers import Heartbeat, Offer, Outcomes, Withdrawals
 from mosswalk.wire.users import JobSpec
 from mosswalk.wire.workers import Report
 from tests.gangs import GANG_PEER_S, GANG_WAIT_S, Gangs
@@ -39,6 +39,7 @@
 from tests.virtual import PROCESS, Network, Session, VirtualClock
 
 CANCEL_S = 42.0
+DEFAULT_TUNING = Tuning()
 TICK_S = 0.25
 
 
@@ -55,7 +56,9 @@
         seed: int,
         teams: tuple[Team, ...] = (Team("red", 8.0, 24.0), Team("blue")),
         count: int = 3,
+        tuning: Tuning = DEFAULT_TUNING,
     ) -> None:
+        self.tuning = tuning
         self.rng = random.Random(seed)
         self.loop = asyncio.get_running_loop()
         self.network = Network(self.rng)
@@ -257,7 +260,7 @@
                 machine_limits=MachineLimits(),
             ),
             tuple(Peer(n, zone[n], f"{n}:8081") for n in self.names if n != name),
-            Tuning(),
+            self.tuning,
         )
 
     def start_controller(self, name: str) -> None:
@@ -299,10 +302,12 @@
                 answer = controller.owner.outcomes(decoded(Outcomes))
             elif path == "/withdrawn":
                 answer = controller.withdrawn_elsewhere(decoded(Withdrawals))
+            elif path == "/probe":
+                answer = await controller.detector.probe(decoded(str))
             elif path == "/poll":
                 answer = await controller.job_service.poll_for_other(decoded(str))
             else:
-                answer = controller._sees()
+                answer = controller.peer_status(decoded(Heartbeat | None))
             return 200, msgspec.msgpack.encode(answer)
 
         self.network.hosts[f"{name}:8080"] = (name, users)
@@ -311,7 +316,8 @@
     def kill_controller(self, name: str) -> None:
         self.loop.thaw(name)
         controller, tasks = self.controllers.pop(name)
-        for task in [*tasks, *controller.manager._tasks]:
+        detecting = controller.detector._tasks if controller.detector is not None else ()
+        for task in [*tasks, *controller.manager._tasks, *detecting]:
             task.cancel()
         for port in (8080, 8081):
             self.network.hosts.pop(f"{name}:{port}", None)
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -123,6 +123,9 @@
             with contextlib.suppress(ConflictError):
                 self.store.commit(transaction)
 
+    async def end_lease(self, lease: int) -> None:
+        self.store.end_lease(lease)
+
     async def get(self, key: str) -> wire.Row | None:
         row = self.store.rows.get(key)
         return wire.Row(key, Raw(row[0]), row[1]) if row else None
--- a/tests/test_election.py
+++ b/tests/test_election.py
@@ -28,7 +28,7 @@
             clock,
             random.Random(name),
         )
-        self.leadership._lease = store.grant()
+        self.leadership.lease = store.grant()
 
     async def see(self):
         if not self.mirror.loaded:
@@ -80,7 +80,7 @@
         await other.see()
         slow.leadership.hand_over()
         # It stops there, its lease ends, and another leads.
-        slow.client.store.end_lease(slow.leadership._lease)
+        slow.client.store.end_lease(slow.leadership.lease)
         await other.see()
         await other.stand()
         assert slow.leadership.leads() and other.leadership.leads()
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -69,7 +69,7 @@
         leadership = Leadership(load(write(tmp_path)), client, mirror, clock, random.Random(2))
         key = records.NODE_PREFIX + leadership.node
         lease, old = store.grant(), store.grant()
-        leadership._lease = lease
+        leadership.lease = lease
         await leadership._write_presence(lease)
         late = Raw(records.encode(records.Presence(leadership.node, "old run")))
         store.commit(wire.Transaction((), (wire.Write(key=key, value=late, lease=old),)))
--- a/tests/test_offers.py
+++ b/tests/test_offers.py
@@ -50,7 +50,7 @@
             name, "small", "a", False, "up", 0, 0, "x", hears=True, seen_us=clock.us
         )
     term = TermRecord(1, "a", {"red": "a"})
-    leadership = SimpleNamespace(term=term, may_start=lambda: True, node="a")
+    leadership = SimpleNamespace(term=term, may_start=lambda: True, suspected=frozenset, node="a")
     renting = SimpleNamespace(
         cordoned=set(), note_stuck=lambda queues: None, nothing_stuck=lambda: None
     )
--- a/tests/virtual.py
+++ b/tests/virtual.py
@@ -94,9 +94,10 @@
         return 1_700_000_000_000_000 + self._off_us + round(self._loop.time() * 1e6)
 
 
-def refused() -> aiohttp.ClientConnectorError:
+def refused(reason: OSError | None = None) -> aiohttp.ClientConnectorError:
     key = SimpleNamespace(host="nowhere", port=0, ssl=True, is_ssl=False)
-    return aiohttp.ClientConnectorError(key, OSError("refused"))  # type: ignore[arg-type]
+    error = reason or ConnectionRefusedError("refused")
+    return aiohttp.ClientConnectorError(key, error)  # type: ignore[arg-type]
 
 
 class Network:
@@ -163,7 +164,7 @@
             if (sender, name) in self.holds and self.rng.random() < 0.5:
                 # No connection comes about; what was sent on an open one is held back instead.
                 await asyncio.sleep(min(1.0, timeout_s / 2))
-                raise refused()
+                raise refused(OSError("timed out"))
             work = self._carry(sender, address, method, "/" + path, body)
             return await asyncio.shield(self.spawn(work))
 
