Detection: one exchange a pair and period, unanswered requests, tests that cut

Change: one that was heard within a period is not sent a heartbeat, but asked itself every few; requests without an answer for longer than the patience count as not heard by it; a word about us counts once it lasts; a silent controller is left to quorum and lease before the leader does without it; a verdict that another observer carried out a moment earlier is told as the quorum's.

--- a/mosswalk/detection/detector.py
+++ b/mosswalk/detection/detector.py
@@ -14,7 +14,7 @@
 from mosswalk.config import Settings
 from mosswalk.config.detection import DetectionTuning
 from mosswalk.detection.fence import AuthorityFence
-from mosswalk.detection.quorum import Received, is_cut_off, is_dead, votes
+from mosswalk.detection.quorum import Received, Vote, is_cut_off, is_dead, quorum_size, votes
 from mosswalk.detection.renewer import LeaseRenewer
 from mosswalk.detection.stall import StallMonitor
 from mosswalk.detection.suspicion import PeerSuspicion, StateChange
@@ -30,6 +30,10 @@
 _MS_US = 1000
 # A tick later than this part of the floor is a stall of our own.
 _STALL_PART = 0.5
+# One that was heard within this part of a period need not be sent a heartbeat; but it is asked at
+# least once in so many periods.
+_EXCHANGE_PART = 0.75
+_ASK_PERIODS = 2.5
 _WHY = {
     "alive": "heard",
     "silent": "not heard here, nor by those who were asked",
@@ -99,6 +103,7 @@
         self._verdict_count = 0
         self._known_runs: dict[str, str] = {}
         self._exchanging: set[str] = set()
+        self._probing: set[str] = set()
         self._fencing: set[str] = set()
         self._tasks: set[asyncio.Task[None]] = set()
         self.renewer: LeaseRenewer | None = None
@@ -124,8 +129,17 @@
         present = self._leadership.present.get(node)
         if present is not None and present.run == run:
             return Verdict(node, run, "cut_off")
+        # Another observer may have ended its lease a moment before we would have.
+        peer = self._suspicions.get(node)
+        agreed = self._votes(peer) if peer is not None and peer.run == run else ()
+        if len(agreed) >= quorum_size(self._controllers):
+            return Verdict(node, run, "quorum", tuple(vote.observer for vote in agreed))
         return Verdict(node, run, "lease")
 
+    def _votes(self, peer: PeerSuspicion) -> tuple[Vote, ...]:
+        now_us = self._clock.now_us()
+        return votes(peer, self._node, self._received, now_us, self._oldest_us)
+
     def arrived(self, heartbeat: Heartbeat) -> Heartbeat | None:
         """A heartbeat has come; ours for the answer, or None to a stranger."""
         if heartbeat.node not in self._suspicions:
@@ -162,10 +176,8 @@
         self._received[heartbeat.node] = received
         ours = received.row(self._node)
         if ours is not None and not heartbeat.stalled:
-            peer.misses_us = ours.run == self._leadership.run_id and ours.state in (
-                "silent",
-                "unheard",
-            )
+            misses = ours.run == self._leadership.run_id and ours.state in ("silent", "unheard")
+            peer.said_of_us(misses, now_us)
         for row in heartbeat.rows:
             other = self._suspicions.get(row.node)
             if other is not None and row.run == other.run:
@@ -175,11 +187,13 @@
     async def _exchange(self, node: str) -> bool:
         """Exchange heartbeats with a controller; whether it answered."""
         peer = self._suspicions[node]
+        asked_us = self._clock.now_us()
         try:
             status = await self._peers.exchange(node, self._heartbeat())
         except PeerError as error:
-            peer.refused = isinstance(error, PeerRefusedError)
+            peer.unanswered(asked_us, refused=isinstance(error, PeerRefusedError))
             return False
+        peer.answered(self._clock.now_us())
         if status.heartbeat is not UNSET and status.heartbeat.node == node:
             self._take(status.heartbeat)
         elif not self._takes_part(node):
@@ -195,6 +209,12 @@
 
     async def _probe_others(self, peer: PeerSuspicion) -> None:
         """Ask third controllers before anything is concluded from a silence."""
+        try:
+            await self._probe_through_others(peer)
+        finally:
+            self._probing.discard(peer.node)
+
+    async def _probe_through_others(self, peer: PeerSuspicion) -> None:
         others = [
             n for n, other in self._suspicions.items() if n != peer.node and n in self._here()
         ]
@@ -203,6 +223,7 @@
         if any(answers):
             peer.heard_elsewhere_us = self._clock.now_us()
         peer.probed = True
+        self._observe(peer)
 
     async def _probe_one(self, node: str, subject: str) -> bool:
         try:
@@ -240,17 +261,40 @@
         now_us, listening_us = self._clock.now_us(), self._stall.listening_us
         self._note_presences(now_us, listening_us)
         for node, peer in self._suspicions.items():
-            if node not in self._exchanging:
-                self._exchanging.add(node)
-                self._spawn(self._exchange_once(node))
-            if peer.needs_probe(now_us, listening_us) and node not in self._fencing:
+            if self._exchange_due(peer, now_us):
+                self._start_exchange(node)
+            if peer.needs_probe(now_us, listening_us) and node not in self._probing:
+                self._probing.add(node)
                 self._spawn(self._probe_others(peer))
-            change = peer.observe(now_us, listening_us)
-            if change is not None:
-                self._log_change(change)
+            self._observe(peer)
         if self.in_force() and self.fence.may_act():
             self._judge(now_us, listening_us)
 
+    def _exchange_due(self, peer: PeerSuspicion, now_us: int) -> bool:
+        """Whether to send a heartbeat: one exchange a pair and period tells both of each other.
+
+        Now and then each has to ask itself, to know that its own requests arrive.
+        """
+        if peer.suspected or peer.state != "alive":
+            return True
+        heartbeat_us = to_us(self._tuning.heartbeat_s)
+        unheard = now_us - peer.heard_us > _EXCHANGE_PART * heartbeat_us
+        return unheard or now_us - peer.answered_us > _ASK_PERIODS * heartbeat_us
+
+    def _start_exchange(self, node: str) -> None:
+        if node not in self._exchanging:
+            self._exchanging.add(node)
+            self._spawn(self._exchange_once(node))
+
+    def _observe(self, peer: PeerSuspicion) -> None:
+        change = peer.observe(self._clock.now_us(), self._stall.listening_us)
+        if change is None:
+            return
+        self._log_change(change)
+        # The others' verdicts wait for our word.
+        for node in self._suspicions:
+            self._start_exchange(node)
+
     def _note_presences(self, now_us: int, listening_us: int) -> None:
         """A presence that is new in the state service is a sign of life."""
         for node, peer in self._suspicions.items():
@@ -290,7 +334,7 @@
         present = self._here().get(peer.node)
         if present is None or present.run != peer.run or present.lease is UNSET:
             return
-        agreed = votes(peer, self._node, self._received, now_us, self._oldest_us)
+        agreed = self._votes(peer)
         if peer.node in self._fencing or not is_dead(
             peer, agreed, self._controllers, now_us, listening_us, self._tuning
         ):
--- a/mosswalk/detection/quorum.py
+++ b/mosswalk/detection/quorum.py
@@ -81,9 +81,13 @@
 def is_cut_off(
     peer: PeerSuspicion, was_cut_off: bool, now_us: int, listening_us: int, tuning: DetectionTuning
 ) -> bool:
-    """Whether the leader can't use a controller, be it alive or not; ends with the suspicion."""
+    """Whether the leader can't use a controller, be it alive or not; ends with the suspicion.
+
+    One that is silent to all is left to the quorum first, which fences it.
+    """
     if not peer.suspected:
         return False
     since_us = max(peer.suspected_us, peer.state_since_us, listening_us)
-    lasts = peer.state != "alive" and now_us - since_us >= to_us(tuning.silent_s)
+    window_s = tuning.silent_s + (tuning.ceiling_s if peer.state == "silent" else 0.0)
+    lasts = peer.state != "alive" and now_us - since_us >= to_us(window_s)
     return was_cut_off or lasts
--- a/mosswalk/detection/suspicion.py
+++ b/mosswalk/detection/suspicion.py
@@ -39,8 +39,11 @@
         self.state_since_us = now_us
         # Connections to it have been refused since it was last heard.
         self.refused = False
-        # It has said that it doesn't hear us.
-        self.misses_us = False
+        # Since when it has been saying that it doesn't hear us.
+        self.misses_us_since_us: int | None = None
+        # Our own requests to it: when one was last answered, and since when none was.
+        self.answered_us = now_us
+        self.unanswered_since_us: int | None = None
         # A third controller has reached it, or told that it hears it.
         self.heard_elsewhere_us: int | None = None
         # Third controllers have been asked in this silence, and have answered or not.
@@ -75,12 +78,40 @@
         self.heard_us = now_us
         self.refused = self.probed = self.judged = False
 
+    def answered(self, now_us: int) -> None:
+        """It has answered a request of ours."""
+        self.answered_us = now_us
+        self.unanswered_since_us = None
+
+    def unanswered(self, asked_us: int, *, refused: bool) -> None:
+        """It has not answered a request that was sent at ``asked_us``."""
+        self.refused = refused
+        if self.unanswered_since_us is None:
+            self.unanswered_since_us = asked_us
+
+    def _hears_us(self, now_us: int, listening_us: int) -> bool:
+        """Whether what we send reaches it, by its own word and by its answers."""
+        patience_us = self.patience.patience_us()
+        return all(
+            since_us is None or now_us - max(since_us, listening_us) <= patience_us
+            for since_us in (self.misses_us_since_us, self.unanswered_since_us)
+        )
+
+    def said_of_us(self, misses: bool, now_us: int) -> None:
+        """It has said whether it misses us."""
+        if not misses:
+            self.misses_us_since_us = None
+        elif self.misses_us_since_us is None:
+            self.misses_us_since_us = now_us
+
     def _restarted(self, run: str, now_us: int) -> None:
         """Another run: what was held of the one before says nothing of it."""
         self.run = run
         self.state = "alive"
         self.state_since_us = now_us
-        self.misses_us = self.suspected = False
+        self.suspected = False
+        self.misses_us_since_us = None
+        self.unanswered_since_us = None
         self.heard_elsewhere_us = None
         self._returned_us = None
 
@@ -112,7 +143,7 @@
         if self.state in ("silent", "unheard") and self.heard_us < listening_us:
             # We stood still ourselves: it has been neither heard again nor missed for long enough.
             return self.state
-        return "unhearing" if self.misses_us else "alive"
+        return "alive" if self._hears_us(now_us, listening_us) else "unhearing"
 
     def _damp(self, now_us: int) -> None:
         if self.state != "alive":
--- a/mosswalk/leadership/actor.py
+++ b/mosswalk/leadership/actor.py
@@ -303,7 +303,8 @@
                     self.lease_us = asked_us
                     await self._restore_presence()
             except NoLeaseError:
-                log.info("lease %s has ended", self.lease)
+                if self.lease is not None:
+                    log.info("lease %d has ended", self.lease)
                 self.lease = None
                 continue
             except (RefusedError, UnknownOutcomeError) as error:
--- a/tests/test_startup.py
+++ b/tests/test_startup.py
@@ -50,6 +50,7 @@
     assert packages - LIBRARIES - set(sys.stdlib_module_names) == {"mosswalk"}
     # Users' commands, and the libraries of what only some controllers are asked for.
     assert not {"mosswalk.cli.client", "hcl2", "prometheus_client"} & set(loaded)
+    assert not [name for name in loaded if name.startswith("mosswalk.detection")]
 
 
 @pytest.fixture
