--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -7,11 +7,13 @@
 
 from __future__ import annotations
 
+import argparse
 import asyncio
 import random
 import socket
 import time
 from contextlib import AsyncExitStack, suppress
+from pathlib import Path
 
 import aiohttp
 import msgspec
@@ -29,7 +31,13 @@
     Team,
     WorkerLimits,
 )
-from mosswalk.config.operator import FactoryTuning, FleetTuning, LeadershipTuning, Tuning
+from mosswalk.config.operator import (
+    FactoryTuning,
+    FleetTuning,
+    LeadershipTuning,
+    Tuning,
+    load_tuning,
+)
 from mosswalk.service import Controller, listen
 from mosswalk.store.client import ConflictError, NoLeaseError
 from mosswalk.wire import state as wire
@@ -277,7 +285,10 @@
 class LoopbackCluster:
     """Everything around the controllers, and the controllers."""
 
-    def __init__(self, teams: tuple[Team, ...] = (Team("red"), Team("blue"))) -> None:
+    def __init__(
+        self, teams: tuple[Team, ...] = (Team("red"), Team("blue")), tuning: Tuning = QUICK
+    ) -> None:
+        self.tuning = tuning
         self.state = StateService()
         self.teams = teams
         self.limits = StateLimits(5000.0, 500.0, 16.0, 16)
@@ -401,7 +412,7 @@
                     machine_limits=MachineLimits(),
                 ),
                 tuple(Peer(n, zone[n], peer[n]) for n in names if n != name),
-                QUICK,
+                self.tuning,
             )
             if start_controllers:
                 await self.start_controller(name)
@@ -459,9 +470,9 @@
         return next((n for n, (c, *_) in self.controllers.items() if c.leadership.leads()), None)
 
 
-async def demo() -> None:
+async def demo(tuning: Tuning) -> None:
     async with AsyncExitStack() as stack:
-        world = LoopbackCluster()
+        world = LoopbackCluster(tuning=tuning)
         world.task_s = 3.0
         await world.start(stack)
         print("\n".join(f"{n}: {a}" for n, a in world.addresses.items()), flush=True)
@@ -469,5 +480,9 @@
 
 
 if __name__ == "__main__":
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--operator-config", type=Path, help="the operators' HCL file")
+    operator_file = parser.parse_args().operator_config
+    chosen = load_tuning(operator_file.read_text()) if operator_file is not None else QUICK
     with suppress(KeyboardInterrupt):
-        asyncio.run(demo())
+        asyncio.run(demo(chosen))
--- /dev/null
+++ b/tests/test_detection_processes.py
@@ -0,0 +1,104 @@
+"""The trial in short, on real processes: counts and order only, no times."""
+
+import asyncio
+from contextlib import AsyncExitStack
+from types import SimpleNamespace
+
+import msgspec
+import pytest
+
+from mosswalk.cli import EXIT_REFUSED, EXIT_UNAVAILABLE, EXIT_USAGE, client, main
+from mosswalk.cli.peers import table
+from mosswalk.detection.view import DetectionView, MatrixCell, PeerView
+from mosswalk.store.records import Verdict
+from tests.detection_report import outcomes, page
+from tests.detection_report import table as figures
+from tests.detection_trial import Trial
+from tests.loopback import LoopbackCluster, free_port
+
+# A third of deploy/detection.hcl, so that a fault takes seconds.
+QUICK = """
+leadership {
+  ttl_s   = 2.0
+  renew_s = 0.3
+}
+detection {
+  heartbeat_s   = 0.15
+  floor_s       = 0.4
+  ceiling_s     = 0.7
+  refused_s     = 0.2
+  silent_s      = 1.0
+  settle_s      = 0.5
+  settle_most_s = 4.0
+  progress_s    = 0.5
+}
+"""
+FAULTS = [
+    ("freeze leader", 0.6),
+    ("one way", 0.6),
+    ("freeze owner", 0.6),
+    ("kill leader", 1.0),
+    ("state one way", 1.0),
+    ("freeze leader", 5.0),
+]
+
+
+def test_each_job_is_answered_once_and_nothing_moves_before_a_verdict(tmp_path):
+    operator_file = tmp_path / "detection.hcl"
+    operator_file.write_text(QUICK)
+    trial = Trial(5, operator_file, calm_s=3.0, scale=1.0)
+    asyncio.run(asyncio.wait_for(trial.run(FAULTS, detects=True), 150))
+    trial.check()
+    assert len(trial.accepted) > 20
+    trial.write(tmp_path / "history.jsonl", baseline=False)
+    found = outcomes(tmp_path / "history.jsonl")
+    assert [o.fault for o in found] == [kind for kind, _ in FAULTS]
+    killed, frozen = found[3], found[5]
+    assert killed.to_verdict_s is not None and killed.terms
+    assert frozen.to_suspicion_s is not None and frozen.terms
+    assert figures(found).count("\n") >= len({(o.fault, o.for_s) for o in found})
+    assert "Failure detection" in page(found)
+
+
+VIEW = DetectionView(
+    "moss-0",
+    "moss-0",
+    7,
+    True,
+    1,
+    0,
+    (PeerView("moss-1", "r1", "silent", True, 2.5, "not heard here", 3.25, 1.2, 2.7, 3, 2),),
+    (
+        MatrixCell("moss-0", "moss-1", "silent", 3.25, 0.0),
+        MatrixCell("moss-1", "moss-0", "alive", 0.25, 3.25),
+    ),
+    (Verdict("moss-2", "r2", "quorum", ("moss-0", "moss-1")),),
+)
+
+
+def test_the_table_shows_who_reaches_whom_and_why():
+    text = table(msgspec.json.encode(VIEW))
+    assert "term 7, leader moss-0; detection in force; stalls here 1" in text
+    assert "moss-1      silent  yes        2.5 s  3.25 s ago  1.20 s    2.70   not heard" in text
+    rows = [" ".join(line.split()) for line in text.splitlines()]
+    assert "moss-0 - silent 3.2 s" in rows and "moss-1 alive 0.2 s -" in rows
+    assert "moss-2 (r2): quorum, agreed by moss-0, moss-1" in text
+
+
+def test_the_command_is_answered_by_a_controller_without_detection(capsys):
+    async def ask():
+        async with AsyncExitStack() as stack:
+            world = LoopbackCluster()
+            await world.start(stack)
+            options = SimpleNamespace(command="peers", server=world.addresses["moss-0"])
+            return await client.run(options)
+
+    assert asyncio.run(ask()) == EXIT_REFUSED
+    assert "404" in (shown := capsys.readouterr().err) and "failure detector is off" in shown
+
+
+@pytest.mark.parametrize(
+    ("server", "code"), [("nowhere", EXIT_USAGE), (f"127.0.0.1:{free_port()}", EXIT_UNAVAILABLE)]
+)
+def test_the_command_fails_as_the_others_do(server, code):
+    assert main(["peers", "--server", server]) == code
