--- /dev/null
+++ b/mosswalk/fleet/machine_list.py
@@ -0,0 +1,76 @@
+"""Takes the cloud's machine list into the inventory.
+
+The list is somewhat old: it proves nothing about a machine that it does not show.
+"""
+
+from __future__ import annotations
+
+import logging
+from typing import Literal, Protocol
+
+from mosswalk.actors import Clock, to_us
+from mosswalk.cloud.actor import Listed
+from mosswalk.fleet.inventory import Inventory, Machine
+from mosswalk.fleet.offers import Offers
+from mosswalk.wire.cloud import ListedMachine
+
+log = logging.getLogger(__name__)
+
+
+class MachineReleaser(Protocol):
+    """Who returns machines to the cloud."""
+
+    def release(self, machine: Machine, why: str) -> None:
+        """Return a machine."""
+
+
+class MachineListIntake:
+    """Adopts machines that are listed and not known, and returns those that have failed."""
+
+    def __init__(
+        self, inventory: Inventory, offers: Offers, releaser: MachineReleaser, clock: Clock
+    ) -> None:
+        self._inventory = inventory
+        self._offers = offers
+        self._releaser = releaser
+        self._clock = clock
+
+    def take(self, message: Listed) -> None:
+        """Take a list."""
+        for row in message.machines:
+            if self._inventory.gone(row.name):
+                continue
+            if row.phase == "failed":
+                self._take_failed(row)
+            else:
+                self._take_present(row)
+
+    def _take_failed(self, row: ListedMachine) -> None:
+        machine = self._inventory.machines.get(row.name)
+        if machine is None:
+            machine = self._adopt(row, "booting")
+        self._releaser.release(machine, "failed")
+
+    def _take_present(self, row: ListedMachine) -> None:
+        machine = self._inventory.machines.get(row.name)
+        if machine is None:
+            # One that runs may have had its say to the leader before us; it is not late in
+            # coming up, and if it is dead its silence will show.
+            machine = self._adopt(row, "up" if row.phase == "running" else "booting")
+            machine.rented_us = self._clock.now_us() - to_us(row.held_s)
+            log.info(
+                "machine %s (%s, %s) listed, not known: taken over", row.name, row.type, row.zone
+            )
+        elif machine.rumoured:
+            machine.rumoured = False
+            machine.type, machine.zone, machine.spot = row.type, row.zone, row.spot
+            self._offers.touch(row.name)
+        if machine.phase == "requested":
+            machine.phase = "booting"
+            machine.since_us = self._clock.now_us()
+        if machine.address is None:
+            machine.address = row.address
+
+    def _adopt(self, row: ListedMachine, phase: Literal["booting", "up"]) -> Machine:
+        now_us = self._clock.now_us()
+        return self._inventory.adopt(row.name, row.type, row.zone, row.spot, phase, now_us)
--- a/mosswalk/fleet/manager.py
+++ b/mosswalk/fleet/manager.py
@@ -20,9 +20,9 @@
 from mosswalk.config.sockets import sockets
 from mosswalk.factory.loop import GiveBack, WaitingTasks
 from mosswalk.fleet.command_sender import CommandSender
-from mosswalk.fleet.failure_detector import TAKEOVER_US, FailureDetector
 from mosswalk.fleet.follower_reports import FollowerReports
 from mosswalk.fleet.inventory import Inventory, Machine
+from mosswalk.fleet.machine_list import MachineListIntake
 from mosswalk.fleet.messages import (
     Message,
     OfferDone,
@@ -34,12 +34,14 @@
 from mosswalk.fleet.moving import Consolidator
 from mosswalk.fleet.offers import Offers
 from mosswalk.fleet.outcome_sender import OutcomeLink, OutcomeSender
+from mosswalk.fleet.overdue_machines import TAKEOVER_US, OverdueMachines
 from mosswalk.fleet.preempting import Preemptor
 from mosswalk.fleet.recent_workers import cut_from_workers
 from mosswalk.fleet.renting import FleetScaler
 from mosswalk.fleet.report_intake import ReportIntake
 from mosswalk.fleet.stale_starts import StaleStarts
 from mosswalk.fleet.stopping import StopRegistry
+from mosswalk.fleet.stray_machines import StrayMachines
 from mosswalk.fleet.task_failures import TaskFailures
 from mosswalk.fleet.upkeep import Upkeep
 from mosswalk.fleet.withdrawing import WithdrawnTasks
@@ -73,11 +75,6 @@
 _ORPHANS_US = 60 * SECOND_US
 # How long room freed by stopping attempts is kept for those it was freed for.
 _CLAIM_US = 4 * SECOND_US
-# Those that have not found it by then are called, so many a tick, and again after as long.
-_DRAW_AFTER_US = 2 * SECOND_US
-_MOST_DRAWN = 64
-# Of a large fleet this part, so that calling all of it over takes no longer than half a lease.
-_DRAWN_PART = 16
 
 
 class OwnerLink(OutcomeLink, Protocol):
@@ -184,13 +181,17 @@
             self,
             clock,
         )
-        self._failure_detector = FailureDetector(settings, self.inventory, leadership, clock)
+        self._overdue_machines = OverdueMachines(settings, self.inventory, leadership, clock)
+        self._stray_machines = StrayMachines(
+            self.inventory, leadership, self._command_sender, clock
+        )
+        self._machine_list = MachineListIntake(self.inventory, self._offers, self, clock)
         self._stale_starts = StaleStarts(self.inventory, registry, leadership, clock)
         self._withdrawn_tasks = WithdrawnTasks(
             self.inventory,
             registry,
             leadership,
-            self._failure_detector.silence_limits,
+            self._overdue_machines.silence_limits,
             clock,
         )
         self.follower_reports = FollowerReports(workers, registry, leadership, clock)
@@ -222,7 +223,8 @@
             case TermBegan():
                 self._check_lead()
             case Listed() if self._leading:
-                self._list_came(message)
+                self._listed = True
+                self._machine_list.take(message)
             case Released() if self._leading:
                 self._released(message.machines)
             case Rented() if self._leading:
@@ -286,7 +288,7 @@
             self._stops.reset()
             self._command_sender.reset()
             self._stale_starts.reset()
-            self._failure_detector.reset()
+            self._overdue_machines.reset()
             if self.cloud is not None:
                 self.cloud.forget()
 
@@ -407,10 +409,10 @@
             if name not in self.inventory.machines:
                 self.inventory.note_rumour(name, now_us)
         self._offers.refresh()
-        self._draw()
+        self._stray_machines.probe(self._since_us)
         for machine, why in self._withdrawn_tasks.overdue(self._listening_us):
             self.release(machine, why, served=False)
-        self._suspect()
+        self._release_overdue()
         self._outcome_sender.send_due()
         self._stale_starts.check()
         self._stops.forget_settled()
@@ -445,81 +447,16 @@
             return True
         return self._clock.now_us() - self._since_us > max(4 * SECOND_US, self._list_lag_us)
 
-    def _draw(self) -> None:
-        """Draw machines over that report to the leader before us.
-
-        It may be cut off from the state service and from us but not from them, and answers them
-        until its time is over. A worker that has seen our epoch drops its answers, and its
-        reports tell it to step down.
-        """
-        now_us = self._clock.now_us()
-        if now_us - self._since_us < _DRAW_AFTER_US or not self._leadership.may_start():
-            return
-        strays = [
-            m
-            for m in self.inventory.machines.values()
-            if m.phase == "up"
-            and (m.must_prove or not m.hears)
-            and m.address is not None
-            and not m.releasing
-            and (m.probed_us is None or now_us - m.probed_us > _DRAW_AFTER_US)
-        ]
-        most = max(_MOST_DRAWN, len(self.inventory.machines) // _DRAWN_PART)
-        for machine in strays[:most]:
-            self._command_sender.probe(machine)
-
-    def _suspect(self) -> None:
+    def _release_overdue(self) -> None:
         """Release machines that say nothing, but not while workers look for their new leader."""
         now_us = self._clock.now_us()
         if now_us - self._listening_us < TAKEOVER_US or not self._leadership.may_start():
             return
-        for machine, why in self._failure_detector.overdue(self._listening_us):
+        for machine, why in self._overdue_machines.overdue(self._listening_us):
             self.release(machine, why)
 
     # The cloud.
 
-    def _list_came(self, message: Listed) -> None:
-        now_us = self._clock.now_us()
-        self._listed = True
-        for row in message.machines:
-            if self.inventory.gone(row.name):
-                continue
-            machine = self.inventory.machines.get(row.name)
-            if row.phase == "failed":
-                if machine is None:
-                    machine = self.inventory.adopt(
-                        row.name, row.type, row.zone, row.spot, "booting", now_us
-                    )
-                self.release(machine, "failed")
-                continue
-            if machine is None:
-                # One that runs may have had its say to the leader before us; it is not late in
-                # coming up, and if it is dead its silence will show.
-                machine = self.inventory.adopt(
-                    row.name,
-                    row.type,
-                    row.zone,
-                    row.spot,
-                    "up" if row.phase == "running" else "booting",
-                    now_us,
-                )
-                machine.rented_us = now_us - to_us(row.held_s)
-                log.info(
-                    "machine %s (%s, %s) listed, not known: taken over",
-                    row.name,
-                    row.type,
-                    row.zone,
-                )
-            elif machine.rumoured:
-                machine.rumoured = False
-                machine.type, machine.zone, machine.spot = row.type, row.zone, row.spot
-                self._offers.touch(row.name)
-            if machine.phase == "requested":
-                machine.phase = "booting"
-                machine.since_us = now_us
-            if machine.address is None:
-                machine.address = row.address
-
     def release(self, machine: Machine, why: str, *, served: bool = True) -> None:
         """Return a machine; where not ``served``, though the state service is not heard."""
         if machine.releasing is None:
--- a/mosswalk/fleet/failure_detector.py
+++ b/mosswalk/fleet/overdue_machines.py
@@ -14,7 +14,7 @@
 TAKEOVER_US = 8 * SECOND_US
 
 
-class FailureDetector:
+class OverdueMachines:
     """Looks for machines that say nothing, do nothing, or never came up."""
 
     def __init__(
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -155,13 +155,13 @@
     manager._since_us = manager._listening_us = clock.us - 60 * S
     led.leadership.present = set()
     silent_us = (
-        manager._failure_detector.silence_limits.lease_us
-        + manager._failure_detector.silence_limits.silent_us
+        manager._overdue_machines.silence_limits.lease_us
+        + manager._overdue_machines.silence_limits.silent_us
         + 2 * S
     )
     for _ in range(silent_us // S):
         clock.us += S
-        manager._suspect()
+        manager._release_overdue()
     led.leadership.present = {zone}
     machines = list(manager.inventory.machines.values())
     for second in range(6):
@@ -169,11 +169,11 @@
         # Most are heard again before the last one.
         for machine in machines[: MACHINES * (second + 1) // 7]:
             machine.seen_us = clock.us
-        manager._suspect()
+        manager._release_overdue()
     assert released == []
     for _ in range(4):
         clock.us += S
-        manager._suspect()
+        manager._release_overdue()
     assert len(released) == MACHINES - MACHINES * 6 // 7
 
 
@@ -187,13 +187,13 @@
         manager._tick()
     led.leadership.may_answer = lambda: True
     clock.us += S // 2
-    manager._suspect()
+    manager._release_overdue()
     assert released == []
     clock.us += 8 * S
     machines = list(manager.inventory.machines.values())
     for machine in machines[5:]:
         machine.seen_us = clock.us
-    manager._suspect()
+    manager._release_overdue()
     assert sorted(released) == [machine.name for machine in machines[:5]]
 
 
@@ -323,7 +323,7 @@
     led.clock.us += 10 * S
     turns = manager._lease_us // (S // 2)
     for _ in range(turns):
-        manager._draw()
+        manager._stray_machines.probe(manager._since_us)
         for name in probed:
             manager.inventory.machines[name].hears = True
     assert len(set(probed)) == LARGE_FLEET
