Detection: a controller that stays away keeps no other one from getting teams

Cause, found by reading: teams are not spread anew while somebody is suspected, and one that is gone for good stayed suspected for ever, so a controller that came back meanwhile got no team. Only those present count now. The new test fails without the change.

--- a/mosswalk/detection/detector.py
+++ b/mosswalk/detection/detector.py
@@ -116,10 +116,11 @@
         return term is not None and term.detects
 
     def suspected(self) -> frozenset[str]:
-        """Those that get nothing new."""
+        """Those that get nothing new; who is gone has nothing, and keeps nobody waiting."""
         if not self.in_force():
             return frozenset()
-        return frozenset(n for n, peer in self._suspicions.items() if peer.suspected)
+        here = self._here()
+        return frozenset(n for n, p in self._suspicions.items() if p.suspected and n in here)
 
     def verdict(self, node: str, run: str) -> Verdict:
         """Why a controller's teams, or the lead, are given to others."""
--- a/tests/test_detection_cluster.py
+++ b/tests/test_detection_cluster.py
@@ -100,6 +100,20 @@
     begin(test, count=5)
 
 
+def test_one_that_is_back_gets_teams_though_another_stays_away():
+    async def test(region):
+        gone, back = follower(region), follower(region, 1)
+        region.kill_controller(gone)
+        region.kill_controller(back)
+        await asyncio.sleep(12.0)
+        region.start_controller(back)
+        await region.until(lambda: back in history(region).terms[-1][1].owners.values(), 20.0)
+        assert back in history(region).terms[-1][1].owners.values()
+        assert gone not in history(region).terms[-1][1].runs
+
+    begin(test)
+
+
 def test_a_quorum_that_cant_be_formed_leaves_it_to_the_lease():
     async def test(region):
         for name in (region.leader(), follower(region)):
