--- a/mosswalk/detection/detector.py
+++ b/mosswalk/detection/detector.py
@@ -1,4 +1,4 @@
-"""The failure detector's actor: exchanges heartbeats, asks third controllers, fences the dead."""
+"""The failure detector's actor: decides each tick who is suspected, and fences the dead."""
 
 from __future__ import annotations
 
@@ -13,43 +13,27 @@
 from mosswalk.actors import SECOND_US, Clock, to_s, to_us
 from mosswalk.config import Settings
 from mosswalk.config.detection import DetectionTuning
+from mosswalk.detection.describe import REASONS, matrix, peer_view
 from mosswalk.detection.fence import AuthorityFence
+from mosswalk.detection.heartbeats import DetectionLink, HeartbeatExchange
 from mosswalk.detection.quorum import Received, Vote, is_cut_off, is_dead, quorum_size, votes
 from mosswalk.detection.renewer import LeaseRenewer
 from mosswalk.detection.stall import StallMonitor
 from mosswalk.detection.suspicion import PeerSuspicion, StateChange
-from mosswalk.detection.view import DetectionFigures, DetectionView, MatrixCell, PeerView
+from mosswalk.detection.view import DetectionFigures, DetectionView
 from mosswalk.leadership.actor import Leadership
-from mosswalk.peers.errors import PeerError, PeerRefusedError
 from mosswalk.store.client import RefusedError, UnknownOutcomeError
 from mosswalk.store.records import Presence, Verdict
-from mosswalk.wire.peers import Heartbeat, LinkRow, PeerStatus, ProbeAnswer
+from mosswalk.wire.peers import Heartbeat, ProbeAnswer
 
 log = logging.getLogger(__name__)
 
-_MS_US = 1000
 # A tick later than this part of the floor is a stall of our own.
 _STALL_PART = 0.5
 # One that was heard within this part of a period need not be sent a heartbeat; but it is asked at
 # least once in so many periods.
 _EXCHANGE_PART = 0.75
 _ASK_PERIODS = 2.5
-_WHY = {
-    "alive": "heard",
-    "silent": "not heard here, nor by those who were asked",
-    "unheard": "not heard here, but by others",
-    "unhearing": "heard, but does not hear us",
-}
-
-
-class DetectionLink(Protocol):
-    """How other controllers are spoken to."""
-
-    async def exchange(self, node: str, heartbeat: Heartbeat) -> PeerStatus:
-        """Exchange heartbeats with another controller."""
-
-    async def probe(self, node: str, subject: str) -> ProbeAnswer:
-        """Have a controller try to reach a third one."""
 
 
 class LeaseEnder(Protocol):
@@ -83,7 +67,6 @@
         self._tuning = tuning
         self._leadership = leadership
         self.fence = fence
-        self._peers = peers
         self._client = client
         self._clock = clock
         self._rng = rng
@@ -92,10 +75,12 @@
         self._suspicions = {
             peer.host_name: PeerSuspicion(peer.host_name, tuning, now_us) for peer in settings.known
         }
-        self._received: dict[str, Received] = {}
         self._controllers = len(self._suspicions) + 1
         limit_us = to_us(_STALL_PART * tuning.floor_s)
         self._stall = StallMonitor(now_us, clock.wall_us(), limit_us)
+        self._heartbeats = HeartbeatExchange(
+            tuning, leadership, self._suspicions, self._stall, peers, clock, rng
+        )
         # A word older than this is no vote.
         self._oldest_us = to_us(tuning.ceiling_s)
         self._cut_off: frozenset[str] = frozenset()
@@ -139,105 +124,20 @@
 
     def _votes(self, peer: PeerSuspicion) -> tuple[Vote, ...]:
         now_us = self._clock.now_us()
-        return votes(peer, self._node, self._received, now_us, self._oldest_us)
+        return votes(peer, self._node, self._heartbeats.received, now_us, self._oldest_us)
 
     def arrived(self, heartbeat: Heartbeat) -> Heartbeat | None:
         """A heartbeat has come; ours for the answer, or None to a stranger."""
         if heartbeat.node not in self._suspicions:
             return None
-        self._take(heartbeat)
-        return self._heartbeat()
+        self._heartbeats.take(heartbeat)
+        return self._heartbeats.ours()
 
     async def probe(self, subject: str) -> ProbeAnswer:
         """Try to reach a controller for another one."""
         if subject not in self._suspicions:
             return ProbeAnswer(False)
-        return ProbeAnswer(await self._exchange(subject))
-
-    # Heartbeats.
-
-    def _heartbeat(self) -> Heartbeat:
-        now_us = self._clock.now_us()
-        rows = tuple(
-            LinkRow(
-                peer.node, peer.run, peer.state, (now_us - peer.heard_us) // _MS_US, peer.refused
-            )
-            for peer in self._suspicions.values()
-        )
-        stalled = now_us - self._stall.listening_us < self._oldest_us and self._stall.stalls > 0
-        return Heartbeat(self._node, self._leadership.run_id, stalled, rows)
-
-    def _take(self, heartbeat: Heartbeat) -> None:
-        """A heartbeat has arrived, as a request or as an answer."""
-        now_us = self._clock.now_us()
-        self._note_stall()
-        peer = self._suspicions[heartbeat.node]
-        peer.heard(heartbeat.run, now_us, self._stall.listening_us)
-        received = Received(heartbeat, now_us)
-        self._received[heartbeat.node] = received
-        ours = received.row(self._node)
-        if ours is not None and not heartbeat.stalled:
-            misses = ours.run == self._leadership.run_id and ours.state in ("silent", "unheard")
-            peer.said_of_us(misses, now_us)
-        for row in heartbeat.rows:
-            other = self._suspicions.get(row.node)
-            if other is not None and row.run == other.run:
-                heard_us = now_us - row.heard_ms * _MS_US
-                other.heard_elsewhere_us = max(other.heard_elsewhere_us or heard_us, heard_us)
-
-    async def _exchange(self, node: str) -> bool:
-        """Exchange heartbeats with a controller; whether it answered."""
-        peer = self._suspicions[node]
-        asked_us = self._clock.now_us()
-        try:
-            status = await self._peers.exchange(node, self._heartbeat())
-        except PeerError as error:
-            peer.unanswered(asked_us, refused=isinstance(error, PeerRefusedError))
-            return False
-        peer.answered(self._clock.now_us())
-        if status.heartbeat is not UNSET and status.heartbeat.node == node:
-            self._take(status.heartbeat)
-        elif not self._takes_part(node):
-            # It runs without detection: that it answers is all that there is to hear.
-            peer.heard(peer.run, self._clock.now_us(), self._stall.listening_us)
-        return True
-
-    async def _exchange_once(self, node: str) -> None:
-        try:
-            await self._exchange(node)
-        finally:
-            self._exchanging.discard(node)
-
-    async def _probe_others(self, peer: PeerSuspicion) -> None:
-        """Ask third controllers before anything is concluded from a silence."""
-        try:
-            await self._probe_through_others(peer)
-        finally:
-            self._probing.discard(peer.node)
-
-    async def _probe_through_others(self, peer: PeerSuspicion) -> None:
-        others = [
-            n for n, other in self._suspicions.items() if n != peer.node and n in self._here()
-        ]
-        asked = self._rng.sample(others, min(self._tuning.probes, len(others)))
-        answers = await asyncio.gather(*(self._probe_one(node, peer.node) for node in asked))
-        if any(answers):
-            peer.heard_elsewhere_us = self._clock.now_us()
-        peer.probed = True
-        self._observe(peer)
-
-    async def _probe_one(self, node: str, subject: str) -> bool:
-        try:
-            return (await self._peers.probe(node, subject)).reached
-        except PeerError:
-            return False
-
-    def _here(self) -> dict[str, Presence]:
-        return self._leadership.present
-
-    def _takes_part(self, node: str) -> bool:
-        present = self._here().get(node)
-        return present is None or present.lease is not UNSET
+        return ProbeAnswer(await self._heartbeats.exchange(subject))
 
     # Each tick.
 
@@ -245,18 +145,10 @@
         """Tick for ever."""
         while True:
             await asyncio.sleep(self._tuning.heartbeat_s * self._rng.uniform(0.9, 1.0))
-            self._note_stall()
+            self._heartbeats.note_stall()
             self._stall.tick(self._clock.now_us(), self._clock.wall_us())
             self.tick()
 
-    def _note_stall(self) -> None:
-        """What is queued while we stand still may run before the tick that would tell."""
-        now_us = self._clock.now_us()
-        expected_us = to_us(self._tuning.heartbeat_s)
-        stall_us = self._stall.look(now_us, self._clock.wall_us(), expected_us)
-        if stall_us:
-            log.info("stood still for %.1f s: listening anew", stall_us / SECOND_US)
-
     def tick(self) -> None:
         """Send heartbeats and decide anew."""
         now_us, listening_us = self._clock.now_us(), self._stall.listening_us
@@ -287,6 +179,23 @@
             self._exchanging.add(node)
             self._spawn(self._exchange_once(node))
 
+    async def _exchange_once(self, node: str) -> None:
+        try:
+            await self._heartbeats.exchange(node)
+        finally:
+            self._exchanging.discard(node)
+
+    async def _probe_others(self, peer: PeerSuspicion) -> None:
+        """Ask third controllers before anything is concluded from a silence."""
+        try:
+            await self._heartbeats.probe_through_others(peer)
+        finally:
+            self._probing.discard(peer.node)
+        self._observe(peer)
+
+    def _here(self) -> dict[str, Presence]:
+        return self._leadership.present
+
     def _observe(self, peer: PeerSuspicion) -> None:
         change = peer.observe(self._clock.now_us(), self._stall.listening_us)
         if change is None:
@@ -312,7 +221,7 @@
             change.after,
             change.silence_us / SECOND_US,
             change.patience_us / SECOND_US,
-            _WHY[change.after],
+            REASONS[change.after],
         )
 
     # Verdicts.
@@ -384,41 +293,16 @@
             {peer.node: peer.level(now_us, listening_us) for peer in peers},
         )
 
-    def _state(self, peer: PeerSuspicion) -> str:
+    def _is_dead(self, peer: PeerSuspicion) -> bool:
+        """Whether it is gone from the state service and the term has been made without it."""
         term = self._leadership.term
         runs = term.runs if term is not None else {}
-        return "dead" if peer.node not in self._here() and peer.node not in runs else peer.state
-
-    def _peer_view(self, peer: PeerSuspicion, now_us: int) -> PeerView:
-        return PeerView(
-            peer.node,
-            peer.run,
-            self._state(peer),
-            peer.suspected,
-            to_s(now_us - peer.state_since_us),
-            _WHY[peer.state],
-            to_s(now_us - peer.heard_us),
-            to_s(peer.patience.patience_us()),
-            peer.level(now_us, self._stall.listening_us),
-            peer.suspicions,
-            peer.false_suspicions,
-        )
+        return peer.node not in self._here() and peer.node not in runs
 
     def view(self) -> DetectionView:
         """Who reaches whom, as far as is known here."""
         now_us = self._clock.now_us()
-        own = Received(self._heartbeat(), now_us)
-        cells = tuple(
-            MatrixCell(
-                observer,
-                row.node,
-                row.state,
-                row.heard_ms / 1000,
-                to_s(now_us - last.arrived_us),
-            )
-            for observer, last in sorted({**self._received, self._node: own}.items())
-            for row in last.heartbeat.rows
-        )
+        own = Received(self._heartbeats.ours(), now_us)
         term = self._leadership.term
         return DetectionView(
             self._node,
@@ -427,8 +311,11 @@
             self.in_force(),
             self._stall.stalls,
             self.fence.freezes,
-            tuple(self._peer_view(peer, now_us) for peer in self._suspicions.values()),
-            cells,
+            tuple(
+                peer_view(peer, now_us, self._stall.listening_us, dead=self._is_dead(peer))
+                for peer in self._suspicions.values()
+            ),
+            matrix({**self._heartbeats.received, self._node: own}, now_us),
             term.verdicts if term is not None else (),
         )
 
--- a/tests/test_detection_cluster.py
+++ b/tests/test_detection_cluster.py
@@ -415,6 +415,15 @@
     history(region).check()
 
 
+@pytest.mark.parametrize("pick", range(8))
+def test_no_rule_breaks_where_one_direction_is_lost_and_the_leader_stands_still(pick):
+    """To and from other controllers, the state service and the workers."""
+    troubles = [Fault(25.0, "one_way", 20.0, pick), Fault(33.0, "freeze", 7.0, 1)]
+    region = play_day(pick, troubles, tuning=ON)
+    assert region.broken == []
+    history(region).check()
+
+
 @settings(max_examples=20)
 @given(
     st.integers(0, 10**6),
