Factory: pools, attribution and booting room in modules of their own

Nothing is decided differently; tests of factory, renting, scale and offers pass, names in them adapted.

--- a/mosswalk/fleet/manager.py
+++ b/mosswalk/fleet/manager.py
@@ -18,7 +18,7 @@
 from mosswalk.cloud.actor import CloudCaller, Listed, Released, Rented, Typed
 from mosswalk.config import Settings
 from mosswalk.config.sockets import sockets
-from mosswalk.factory.loop import GiveBack, WaitingTasks
+from mosswalk.factory.view import GiveBack, WaitingTasks
 from mosswalk.fleet.command_sender import CommandSender
 from mosswalk.fleet.follower_reports import FollowerReports
 from mosswalk.fleet.inventory import Inventory, Machine
--- a/mosswalk/fleet/preempting.py
+++ b/mosswalk/fleet/preempting.py
@@ -8,7 +8,7 @@
 
 from mosswalk.actors import Clock, to_us
 from mosswalk.config import Settings
-from mosswalk.factory.loop import WaitingTasks
+from mosswalk.factory.view import WaitingTasks
 from mosswalk.fleet.inventory import Inventory
 from mosswalk.fleet.offers import Offers
 from mosswalk.jobs.registry import AttemptKey, JobRegistry
--- a/mosswalk/fleet/renting.py
+++ b/mosswalk/fleet/renting.py
@@ -10,15 +10,8 @@
 from mosswalk.cloud.actor import Rented
 from mosswalk.config import Settings
 from mosswalk.factory.cordon import Occupancy, to_cordon
-from mosswalk.factory.loop import (
-    Factory,
-    GiveBack,
-    MachineView,
-    Pool,
-    Rent,
-    View,
-    WaitingTasks,
-)
+from mosswalk.factory.loop import Factory
+from mosswalk.factory.view import GiveBack, MachineView, Pool, Rent, View, WaitingTasks
 from mosswalk.fleet.inventory import Inventory, Machine
 from mosswalk.jobs.admission import fits_type
 from mosswalk.jobs.registry import JobRegistry
@@ -211,7 +204,7 @@
         if machine.group is None:
             return []
         pool = (machine.type, machine.zone, machine.spot)
-        self._factory.booted(pool, took_us)
+        self._factory.pools.booted(pool, took_us)
         group, machine.group = machine.group, None
         return self._factory.group_booted(group, pool, lambda: self._view(self.waiting(), calls))
 
@@ -221,7 +214,7 @@
         pool = message.pool
         self._asked -= Counter({pool: len(message.groups)})
         if message.machines:
-            self._factory.granted(pool, now_us)
+            self._factory.pools.granted(pool, now_us)
         if len(message.machines) < len(message.groups):
             log.info(
                 "pool %s: %d of %d to be had",
@@ -229,7 +222,7 @@
                 len(message.machines),
                 len(message.groups),
             )
-            self._factory.refused(pool, now_us)
+            self._factory.pools.refused(pool, now_us)
         for group in message.groups[len(message.machines) :]:
             self._factory.group_short(group, pool)
         for name, group in zip(message.machines, message.groups, strict=False):
--- a/tests/test_factory.py
+++ b/tests/test_factory.py
@@ -8,7 +8,7 @@
 from mosswalk.factory.consolidate import Host, to_empty
 from mosswalk.factory.cordon import Occupancy, to_cordon
 from mosswalk.factory.load import Dwell, load_ratio, weight
-from mosswalk.factory.loop import Factory, GiveBack, MachineView, Rent, View, WaitingTasks
+from mosswalk.factory.loop import Factory
 from mosswalk.factory.pareto import (
     PoolFigures,
     affordable,
@@ -17,6 +17,7 @@
     optimize,
     pareto_front,
 )
+from mosswalk.factory.view import GiveBack, MachineView, Rent, View, WaitingTasks
 from mosswalk.jobs.state import Job, new_record
 from mosswalk.placement.capacity import Room, ZoneRule
 from tests.standins import shape, spec
@@ -132,7 +133,7 @@
 def test_a_pool_at_its_cap_or_refusing_is_left_alone():
     factory = Factory(FactoryTuning(high_dwell_s=0.0, pool_cap=1, weight_of_time=0.0))
     full = [machine("vm-1", "a", False, load=1.0), machine("vm-2", "a", True, load=1.0)]
-    factory.refused(("small", "b", True), 0)
+    factory.pools.refused(("small", "b", True), 0)
     (rent,) = factory.decide(view(1 * S, full, [waiting(4)]))
     assert rent.pools == (("small", "b", False),)
 
--- a/tests/test_offers.py
+++ b/tests/test_offers.py
@@ -7,7 +7,7 @@
 from msgspec import Raw, structs
 
 from mosswalk.config import Team, load
-from mosswalk.factory.loop import WaitingTasks
+from mosswalk.factory.view import WaitingTasks
 from mosswalk.fleet.inventory import Inventory, Machine
 from mosswalk.fleet.offers import Offers
 from mosswalk.fleet.preempting import Preemptor
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -11,7 +11,8 @@
 from mosswalk.config import Team, load
 from mosswalk.config.operator import FactoryTuning
 from mosswalk.factory import consolidate
-from mosswalk.factory.loop import Factory, MachineView, Rent, View
+from mosswalk.factory.loop import Factory
+from mosswalk.factory.view import MachineView, Rent, View
 from mosswalk.fleet.inventory import Inventory, Machine
 from mosswalk.fleet.manager import FleetManager
 from mosswalk.fleet.outcome_sender import OutcomeSender
