Authority: a test that sees the leader's key being free after a freeze

Taken out of a copy, the part of Mirror.read_now that takes in a deleted key made no test fail. This one does: a leader whose lease ended while it stood still, with nobody leading since.

--- a/tests/test_authority.py
+++ b/tests/test_authority.py
@@ -120,6 +120,17 @@
     assert "deposed while we stood still: led term 1, now other leads in term 2" in caplog.text
 
 
+def test_one_whose_lease_ended_does_not_lead_though_nobody_else_does(node):
+    async def run():
+        await node.lead()
+        node.store.end_lease(node.leadership.lease)
+        node.freeze()
+        await node.fence.confirm()
+        assert not node.leadership.leads() and node.leadership.leader() is None
+
+    asyncio.run(run())
+
+
 @pytest.mark.parametrize("when", ["queued before", "decided after"])
 def test_a_commit_of_an_old_term_fails_unsent(node, when):
     async def run():
