--- a/tests/detection_report.py
+++ b/tests/detection_report.py
@@ -26,6 +26,8 @@
     for_s: float
     to_suspicion_s: float | None = None
     to_verdict_s: float | None = None
+    # Until the next term, by the first controller that saw it.
+    to_term_s: float | None = None
     terms: int = 0
 
 
@@ -62,6 +64,8 @@
         outcome.to_suspicion_s = outcome.to_suspicion_s or passed_s
     elif event.kind == "verdict" and hit:
         outcome.to_verdict_s = outcome.to_verdict_s or passed_s
+    elif event.kind == "term" and event.detail["term"] > fault.detail["term"]:
+        outcome.to_term_s = outcome.to_term_s or passed_s
 
 
 def _median(values: list[float]) -> str:
@@ -76,17 +80,18 @@
     for outcome in found:
         groups[(outcome.baseline, outcome.fault, outcome.for_s)].append(outcome)
     lines = [
-        "| version | fault | s | times | suspected | after s | verdicts | after s | new terms |",
-        "| --- | --- | --- | --- | --- | --- | --- | --- | --- |",
+        "| version | fault | s | times | suspected | after s | verdicts | after s"
+        " | terms | after s |",
+        "| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |",
     ]
     for (baseline, fault, for_s), group in sorted(groups.items()):
         suspected = [o.to_suspicion_s for o in group if o.to_suspicion_s is not None]
         judged = [o.to_verdict_s for o in group if o.to_verdict_s is not None]
-        terms = sum(1 for o in group if o.terms)
+        moved = [o.to_term_s for o in group if o.to_term_s is not None]
         lines.append(
             f"| {'without' if baseline else 'with'} | {fault} | {for_s:g} | {len(group)}"
             f" | {len(suspected)} | {_median(suspected)} | {len(judged)} | {_median(judged)}"
-            f" | {terms} |"
+            f" | {len(moved)} | {_median(moved)} |"
         )
     return "\n".join(lines)
 
--- a/tests/detection_trial.py
+++ b/tests/detection_trial.py
@@ -82,8 +82,8 @@
 
     async def _relay(self, stack: AsyncExitStack, sender: str, receiver: str, to: str) -> str:
         relay = Relay(sender, receiver, to)
-        server = await relay.start()
-        stack.callback(server.close)
+        await relay.start()
+        stack.callback(relay.close)
         self.relays[(sender, receiver)] = relay
         return relay.address
 
@@ -175,7 +175,12 @@
     async def _kill(self, name: str, for_s: float) -> None:
         self.processes[name].kill()
         await self.processes[name].wait()
+        to_it = [relay for (_, receiver), relay in self.relays.items() if receiver == name]
+        for relay in to_it:
+            relay.close()
         await asyncio.sleep(for_s)
+        for relay in to_it:
+            await relay.start()
         await self.start_process(name)
 
     async def fault(self, kind: str, for_s: float) -> None:
@@ -300,6 +305,7 @@
     parser.add_argument("--faults", type=int, default=60)
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--out", type=Path, required=True)
+    parser.add_argument("--kind", choices=KINDS, help="faults of this kind alone")
     parser.add_argument("--baseline", action="store_true", help="without failure detection")
     options = parser.parse_args()
     operator_file = ROOT / "deploy" / "detection.hcl"
@@ -307,8 +313,11 @@
         operator_file = Path(tempfile.mkdtemp()) / "none.hcl"
         operator_file.write_text("leadership {\n}\n")
     trial = Trial(options.seed, operator_file, CALM_S, 1.0)
+    faults = draw(options.seed, options.faults)
+    if options.kind is not None:
+        faults = [(options.kind, for_s) for _, for_s in faults]
     try:
-        asyncio.run(trial.run(draw(options.seed, options.faults), detects=not options.baseline))
+        asyncio.run(trial.run(faults, detects=not options.baseline))
     finally:
         trial.write(options.out, baseline=options.baseline)
     trial.check()
--- a/tests/relay.py
+++ b/tests/relay.py
@@ -19,10 +19,14 @@
         self.address = ""
         self._tasks: set[asyncio.Task[None]] = set()
 
-    async def start(self) -> asyncio.Server:
-        server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        self.address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
-        return server
+    async def start(self) -> None:
+        port = int(self.address.rpartition(":")[2] or 0)
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", port)
+        self.address = f"127.0.0.1:{self._server.sockets[0].getsockname()[1]}"
+
+    def close(self) -> None:
+        """Refuse connections, as the host of a process that has ended does."""
+        self._server.close()
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         try:
--- a/tests/test_detection_cluster.py
+++ b/tests/test_detection_cluster.py
@@ -10,6 +10,8 @@
 
 from mosswalk.config.detection import DetectionTuning
 from mosswalk.config.operator import LeadershipTuning, Tuning
+from mosswalk.detection.quorum import Received
+from mosswalk.wire.peers import Heartbeat, LinkRow
 from tests.fault_injection import Fault, freeze_one, play_day
 from tests.simulation import Simulation
 from tests.standins import spec
@@ -453,6 +455,45 @@
     history(region).check()
 
 
+def test_nobody_is_judged_where_one_of_five_never_took_part():
+    async def day():
+        region = Simulation(3, count=5, tuning=ON)
+        usual, off = region.settings, structs.replace(ON, detection=None)
+
+        def mixed(name):
+            changed = {"tuning": off} if name == region.names[-1] else {}
+            return structs.replace(usual(name), **changed)
+
+        region.settings = mixed
+        region.start()
+        await asyncio.sleep(SETTLED_S)
+        assert not any(term.detects for _, term in history(region).terms)
+        gone = region.leader()
+        region.kill_controller(gone)
+        await region.until(lambda: region.leader() is not None, 20.0)
+        rest = [c for c, _ in region.controllers.values() if c.detector is not None]
+        assert rest and all(c.detector._suspicions[gone].suspected for c in rest)
+        assert not any(c.detector.figures().verdicts for c in rest)
+
+    play(day())
+
+
+def test_a_silence_of_an_earlier_run_does_not_fence_the_present_one():
+    async def test(region):
+        leader, name, third = region.leader(), follower(region), follower(region, 1)
+        detector, peer = controller(region, leader).detector, state(region, leader, name)
+        peer.run, peer.state, peer.refused = "earlier", "silent", True
+        row = LinkRow(name, "earlier", "silent", 9000, True)
+        now_us = detector._clock.now_us()
+        word = Received(Heartbeat(third, "run", False, (row,)), now_us)
+        detector._heartbeats.received[third] = word
+        detector._judge_one(peer, now_us + 10_000_000, 0)
+        await asyncio.sleep(1.0)
+        assert not detector.figures().verdicts and not history(region).verdicts()
+
+    begin(test)
+
+
 def test_one_without_detection_keeps_it_out_of_force_and_all_as_before():
     async def day():
         region = Simulation(3, tuning=ON)
