--- a/tests/detection_trial.py
+++ b/tests/detection_trial.py
@@ -27,7 +27,7 @@
 from msgspec import Struct
 
 from mosswalk.store import records
-from tests.loopback import LoopbackCluster, Worker
+from tests.loopback import LoopbackCluster, Worker, settings_toml
 from tests.relay import Relay
 from tests.standins import spec
 from tests.term_history import TermHistory
@@ -89,27 +89,13 @@
 
     async def _config(self, stack: AsyncExitStack, name: str) -> Path:
         settings = self.world.settings[name]
-        state = await self._relay(stack, name, "state", settings.outside.state)
-        workers = settings.params.workers
-        lines = [
-            f'host_name = "{name}"',
-            f'zone = "{settings.zone}"',
-            f'serve_on = "{settings.serve_on}"',
-            f'cluster_listen = "{settings.cluster_listen}"',
-        ]
-        for peer in settings.known:
-            address = await self._relay(stack, name, peer.host_name, peer.address)
-            lines += ["[[known]]", f'host_name = "{peer.host_name}"', f'zone = "{peer.zone}"']
-            lines.append(f'address = "{address}"')
-        lines += ["[outside]", f'cloud = "{settings.outside.cloud}"', f'state = "{state}"']
-        lines += ["[params]", 'zones = ["a", "b"]']
-        lines += ["[params.workers]", f"report_s = {workers.report_s}"]
-        lines += [f"lease_s = {workers.lease_s}", f"cancel_s = {workers.cancel_s}"]
-        lines += ["[params.state]", "rps = 5000.0", "write_rps = 500.0"]
-        lines += ["value_kb = 16.0", "txn_ops = 16"]
-        lines += ["[params.cloud]", "rps = 50.0", "list_lag_s = 0.2"]
-        for team in settings.params.teams:
-            lines += ["[[params.teams]]", f'name = "{team.name}"']
+        receivers = {peer.host_name: peer.address for peer in settings.known}
+        receivers["state"] = settings.outside.state
+        by_way = {
+            receiver: await self._relay(stack, name, receiver, address)
+            for receiver, address in receivers.items()
+        }
+        lines = settings_toml(settings, by_way)
         path = self.folder / f"{name}.toml"
         path.write_text("\n".join(lines) + "\n")
         return path
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -12,6 +12,7 @@
 import random
 import socket
 import time
+from collections.abc import Mapping
 from contextlib import AsyncExitStack, suppress
 from pathlib import Path
 
@@ -58,6 +59,32 @@
         return probe.getsockname()[1]
 
 
+def settings_toml(settings: Settings, reached_at: Mapping[str, str] | None = None) -> list[str]:
+    """The lines of the platform's file for a process; others may be reached by way of a relay."""
+    by_way = reached_at or {}
+    workers = settings.params.workers
+    lines = [
+        f'host_name = "{settings.host_name}"',
+        f'zone = "{settings.zone}"',
+        f'serve_on = "{settings.serve_on}"',
+        f'cluster_listen = "{settings.cluster_listen}"',
+    ]
+    for peer in settings.known:
+        address = by_way.get(peer.host_name, peer.address)
+        lines += ["[[known]]", f'host_name = "{peer.host_name}"', f'zone = "{peer.zone}"']
+        lines.append(f'address = "{address}"')
+    lines += ["[outside]", f'cloud = "{settings.outside.cloud}"']
+    lines.append(f'state = "{by_way.get("state", settings.outside.state)}"')
+    lines += ["[params]", 'zones = ["a", "b"]']
+    lines += ["[params.workers]", f"report_s = {workers.report_s}"]
+    lines += [f"lease_s = {workers.lease_s}", f"cancel_s = {workers.cancel_s}"]
+    lines += ["[params.cloud]", "rps = 50.0", "list_lag_s = 0.2"]
+    for team in settings.params.teams:
+        lines += ["[[params.teams]]", f'name = "{team.name}"']
+    lines += ["[params.state]", "rps = 5000.0", "write_rps = 500.0"]
+    return [*lines, "value_kb = 16.0", "txn_ops = 16"]
+
+
 class StateService:
     """The store over HTTP; ``down`` makes it refuse everybody."""
 
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -18,7 +18,7 @@
 
 from mosswalk.config import StateLimits
 from mosswalk.store import records
-from tests.loopback import LoopbackCluster
+from tests.loopback import LoopbackCluster, settings_toml
 from tests.standins import spec
 from tests.test_cluster import Users, until
 
@@ -62,44 +62,8 @@
     def start(self, name: str) -> None:
         settings = self.world.settings[name]
         path = self.checkout / f"{name}.toml"
-        params = settings.params
-        lines = [
-            f'host_name = "{name}"',
-            f'zone = "{settings.zone}"',
-            f'serve_on = "{settings.serve_on}"',
-            f'cluster_listen = "{settings.cluster_listen}"',
-        ]
-        for peer in settings.known:
-            lines += [
-                "[[known]]",
-                f'host_name = "{peer.host_name}"',
-                f'zone = "{peer.zone}"',
-                f'address = "{peer.address}"',
-            ]
-        lines += [
-            "[outside]",
-            f'cloud = "{settings.outside.cloud}"',
-            f'state = "{settings.outside.state}"',
-            "[params]",
-            'zones = ["a", "b"]',
-            "[params.workers]",
-            f"report_s = {params.workers.report_s}",
-            f"lease_s = {params.workers.lease_s}",
-            f"cancel_s = {params.workers.cancel_s}",
-            "[params.state]",
-            "rps = 5000.0",
-            "write_rps = 500.0",
-            "value_kb = 16.0",
-            "txn_ops = 16",
-            "[params.state.next]",
-            "value_kb = 2.0",
-            "txn_ops = 5",
-            "[params.cloud]",
-            "rps = 50.0",
-            "list_lag_s = 0.2",
-        ]
-        for team in params.teams:
-            lines += ["[[params.teams]]", f'name = "{team.name}"']
+        lines = settings_toml(settings)
+        lines += ["[params.state.next]", "value_kb = 2.0", "txn_ops = 5"]
         path.write_text("\n".join(lines))
         path.with_suffix(".hcl").write_text(QUICK)
         self.running[name] = subprocess.Popen(
