Detector: the time to the last verdict is one figure, not the last key of a table

Found on reading the change once more: the metric took the last entry of the verdicts by controller, and a controller that is judged again keeps its old place there, so another one's time was shown. The figure is kept by itself now, and the struct that carried it is gone. The new test fails without the change. Only code that is imported with detection on.

--- a/mosswalk/detection/detector.py
+++ b/mosswalk/detection/detector.py
@@ -8,7 +8,7 @@
 from collections.abc import Coroutine
 from typing import Any, Protocol
 
-from msgspec import UNSET, Struct
+from msgspec import UNSET
 
 from mosswalk.actors import SECOND_US, Clock, to_s, to_us
 from mosswalk.config import Settings
@@ -43,13 +43,6 @@
         """End a lease at once; it does not matter if it has ended already."""
 
 
-class _GivenVerdict(Struct, frozen=True):
-    """A verdict that was given here, and how long after the last sign of life."""
-
-    verdict: Verdict
-    after_us: int
-
-
 class Detector:
     """Owns what this controller holds of the others."""
 
@@ -84,8 +77,11 @@
         # A word older than this is no vote.
         self._oldest_us = to_us(tuning.ceiling_s)
         self._cut_off: frozenset[str] = frozenset()
-        self._given: dict[str, _GivenVerdict] = {}
+        # The last verdict given here on each controller.
+        self._given: dict[str, Verdict] = {}
         self._verdict_count = 0
+        # From the last sign of life to the last verdict given here.
+        self._time_to_verdict_us = 0
         self._known_runs: dict[str, str] = {}
         self._exchanging: set[str] = set()
         self._probing: set[str] = set()
@@ -110,9 +106,9 @@
     def verdict(self, node: str, run: str) -> Verdict:
         """Why a controller's teams, or the lead, are given to others."""
         given = self._given.get(node)
-        if given is not None and given.verdict.run == run:
-            return given.verdict
-        present = self._leadership.present.get(node)
+        if given is not None and given.run == run:
+            return given
+        present = self._here().get(node)
         if present is not None and present.run == run:
             return Verdict(node, run, "cut_off")
         # Another observer may have ended its lease a moment before we would have.
@@ -265,7 +261,8 @@
             self._fencing.discard(peer.node)
         after_us = self._clock.now_us() - peer.heard_us
         peer.judged = True
-        self._given[peer.node] = _GivenVerdict(verdict, after_us)
+        self._given[peer.node] = verdict
+        self._time_to_verdict_us = after_us
         self._verdict_count += 1
         log.info(
             "%s: dead, %s agree, last heard %.2f s ago; its lease %d has been ended",
@@ -281,12 +278,11 @@
         """Counts for the metrics."""
         now_us, listening_us = self._clock.now_us(), self._stall.listening_us
         peers = self._suspicions.values()
-        given = list(self._given.values())
         return DetectionFigures(
             sum(peer.suspicions for peer in peers),
             sum(peer.false_suspicions for peer in peers),
             self._verdict_count,
-            to_s(given[-1].after_us) if given else 0.0,
+            to_s(self._time_to_verdict_us),
             self._stall.stalls,
             self.fence.freezes,
             self.renewer.renewals if self.renewer is not None else 0,
--- a/tests/test_detection_cluster.py
+++ b/tests/test_detection_cluster.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import re
+from types import SimpleNamespace
 
 import pytest
 from hypothesis import given, settings
@@ -11,6 +12,7 @@
 from mosswalk.config.detection import DetectionTuning
 from mosswalk.config.operator import LeadershipTuning, Tuning
 from mosswalk.detection.quorum import Received
+from mosswalk.store.records import Verdict
 from mosswalk.wire.peers import Heartbeat, LinkRow
 from tests.fault_injection import Fault, freeze_one, play_day
 from tests.simulation import Simulation
@@ -494,6 +496,21 @@
     begin(test)
 
 
+def test_the_time_to_the_last_verdict_is_told_though_its_controller_was_judged_before():
+    async def test(region):
+        leader = region.leader()
+        detector = controller(region, leader).detector
+        detector._client = SimpleNamespace(end_lease=lambda _lease: asyncio.sleep(0))
+        names = [follower(region), follower(region, 1), follower(region)]
+        for age_s, name in zip((5, 4, 9), names, strict=True):
+            peer = state(region, leader, name)
+            peer.heard_us = detector._clock.now_us() - age_s * 1_000_000
+            await detector._fence_off(peer, Verdict(name, peer.run, "quorum"), 1)
+            assert detector.figures().time_to_verdict_s == pytest.approx(age_s, abs=0.01)
+
+    begin(test)
+
+
 def test_one_without_detection_keeps_it_out_of_force_and_all_as_before():
     async def day():
         region = Simulation(3, tuning=ON)
