review: an array is called done before all of its tasks

A transaction whose answer a short cut loses is sent again and answered 409. The owner then reads only the job's header again, not the record that was written with it, and its next commit undoes what the first one recorded.

review/common has the stand-ins that the cases share.

--- /dev/null
+++ b/review/common/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins and helpers that the cases of the review share."""
