review: a large array is never placed after an outage

A draft is bounded by the number of its writes, not by the 64 KiB that a transaction may have. An array that fits the fleet all at once, as when all machines came up during an outage, is written in one transaction, which the state service answers 400; the next round makes the same one again.

--- a/review/common/world.py
+++ b/review/common/world.py
@@ -117,8 +117,9 @@
         self._latency_s = latency_s
         self._changed = asyncio.Event()
         self.ports: dict[str, int] = {}
-        # Controllers that get 503, and the end of an outage for all.
+        # Controllers that alone get 503, and whether all do.
         self.refused: set[str] = set()
+        self._is_out = False
         # Called after a transaction of a controller was carried out, and before it is answered:
         # for how long the controller is then cut from the state service.
         self.cut_after_commit: Callable[[str, Json], float] = lambda _node, _body: 0.0
@@ -165,6 +166,19 @@
             assert isinstance(transport, asyncio.WriteTransport)
             transport.abort()
 
+    async def outage(self, for_s: float) -> None:
+        """Refuse all requests for a while; then every lease has its full time again."""
+        self.record("state", f"outage of {for_s:.0f} s begins")
+        self._is_out = True
+        await asyncio.sleep(for_s)
+        now = time.monotonic()
+        self.holds = {hold: (now + ttl, ttl) for hold, (_, ttl) in self.holds.items()}
+        self._is_out = False
+        self.record("state", "the outage is over")
+
+    def _is_refused(self, node: str) -> bool:
+        return self._is_out or node in self.refused
+
     def _guarded(
         self, node: str, handler: Callable[[str, web.Request], Awaitable[web.Response]]
     ) -> Callable[[web.Request], Awaitable[web.Response]]:
@@ -174,7 +188,7 @@
                 if time.monotonic() < self._cut_until.get(node, 0.0):
                     request.transport.abort()
                     raise ConnectionResetError
-            if node in self.refused:
+            if self._is_refused(node):
                 return web.json_response({"error": "unavailable"}, status=503)
             if not self._requests.take():
                 return web.json_response({"error": "too many requests"}, status=429)
@@ -188,6 +202,8 @@
     async def _expire(self) -> None:
         while True:
             await asyncio.sleep(0.02)
+            if self._is_out:
+                continue
             now = time.monotonic()
             for hold in [h for h, (until, _) in self.holds.items() if until < now]:
                 del self.holds[hold]
@@ -236,6 +252,7 @@
         body = json.loads(raw)
         guards, writes = body.get("guards", []), body.get("writes", [])
         if len(raw) > 64 * 1024 or len(writes) > 16 or len(guards) > 64:
+            self.record("state", f"{node} commit 400: {len(raw)} bytes, {len(writes)} writes")
             return web.json_response({"error": "too large"}, status=400)
         if any(len(json.dumps(w["v"])) > 16 * 1024 for w in writes if "write" in w):
             return web.json_response({"error": "value too large"}, status=400)
@@ -308,7 +325,7 @@
             ]
             left = until - time.monotonic()
             # An open watch of a controller that is refused waits as in an outage.
-            if node not in self.refused and (found or left <= 0):
+            if not self._is_refused(node) and (found or left <= 0):
                 return web.json_response({"ledger": self.ledger, "events": found})
             with suppress(TimeoutError):
                 async with asyncio.timeout(max(0.02, min(left, 0.2))):
