--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -8,6 +8,9 @@
 trap 'kill -TERM "$case" 2>/dev/null' TERM INT
 wait "$case"
 code=$?
-wait "$case" 2>/dev/null
+while kill -0 "$case" 2>/dev/null; do
+  wait "$case"
+  code=$?
+done
 rm -rf "$CASE_TMP"
 exit "$code"
