--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,4 +1,4 @@
-"""An array is called done before all of its tasks, after one short cut of a controller."""
+"""An array is called done before all of its tasks, after short cuts of a controller."""
 
 from __future__ import annotations
 
@@ -18,9 +18,12 @@
 RUN_S = 15.0
 # From it and a task's name follows how long the task runs.
 SEED = 31
-# The one cut: how long it lasts, and how many tasks are done before it.
+# The cuts: how many there are, how long each lasts, the time from one to the next, and how many
+# tasks are done before the first one.
+CUTS = 3
 CUT_S = 0.05
-DONE_BEFORE_CUT = 150
+GAP_S = 1.5
+DONE_BEFORE_CUTS = 150
 
 
 def run_s(piece: str) -> float:
@@ -40,14 +43,16 @@
         cloud_latency_s=sundarban.CLOUD_LATENCY_S,
         boot_s=lambda: random.uniform(9.0, 11.0),
     )
-    cuts: list[str] = []
+    cuts: list[float] = []
 
-    def cut_s(node: str, body: Json) -> float:
+    def cut_s(_node: str, body: Json) -> float:
         """How long the controller is cut off right after this transaction was carried out."""
         is_outcome = any(w.get("write", "").startswith(f"m/c/{REF}/") for w in body["writes"])
-        if cuts or not is_outcome or len(world.done) < DONE_BEFORE_CUT:
+        if not is_outcome or len(world.done) < DONE_BEFORE_CUTS or len(cuts) == CUTS:
             return 0.0
-        cuts.append(node)
+        if cuts and time.monotonic() - cuts[-1] < GAP_S:
+            return 0.0
+        cuts.append(time.monotonic())
         return CUT_S
 
     if TROUBLE:
@@ -78,7 +83,7 @@
         done = len({p for p in world.done if p.startswith(f"{REF}/")})
         print(f"at the end {done} of {TASKS} tasks are done; last poll {await world.poll(REF)}")
         if TROUBLE and not cuts:
-            raise CaseError("there was no moment for the cut")
+            raise CaseError("there was no moment for a cut")
         return BROKEN if broken else HELD
     finally:
         await world.stop()
