--- a/review/2/case.py
+++ b/review/2/case.py
@@ -31,7 +31,7 @@
         },
         state_latency_s=sundarban.STATE_LATENCY_S,
         cloud_latency_s=sundarban.CLOUD_LATENCY_S,
-        boot_s=lambda: 9.0 if len(rented) <= 1 else 2.0,
+        boot_s=lambda: 2.0,
     )
 
     def on_rented(worker: Worker) -> None:
