store: compute no change from a header that is newer than the job's other records

It takes one cut of 0.05 s of one controller from the state service, after a transaction with outcomes was applied and before its answer.

Cause: after the 409 to the repeated transaction the owner read the header again and nothing else. Until the watch showed the rest, the mirror held a new header beside an old chunk. The next change was guarded by the new header's version, so it succeeded, put the old chunk back and counted its ended attempts again.

Change: the mirror knows the keys whose value is ahead of the watch, and an owner changes only jobs whose header is not among them. After a conflict the owner waits for the watch to reach the revision of the 409, so it also sees the attempts of its own earlier copy, which count against the limit. The same cause on related paths: withdrawals from other controllers or made from a header just read, pages of a full reading, a term read after a freeze.

Why it works: a header reaches the mirror only in order, or with the change that replaced what the mirror had; so its version guards the other records as they are here.

Ruled out: reading the change's other keys too. Several reads are not one moment, and a withdrawal names no other keys.

--- a/mosswalk/api/jobs.py
+++ b/mosswalk/api/jobs.py
@@ -247,7 +247,7 @@
                 if known is not None:
                     return known
                 continue
-            self._mirror.apply_response(key, value, revision)
+            self._mirror.apply_change(change, revision)
             self._mirror.notify_batch_applied()
             log.info("accepted %s: %s of %s, %d tasks", spec.id, spec.kind, spec.team, spec.tasks)
             return _state_reply(201, JobState(spec.id, "pending"))
--- a/mosswalk/detection/fence.py
+++ b/mosswalk/detection/fence.py
@@ -132,10 +132,7 @@
         tell, so it is not rejected here.
         """
         await self._fence.confirm()
-        term_revision = guards.get(records.TERM_KEY)
-        if (
-            not sent_before
-            and term_revision is not None
-            and self._mirror.version(records.TERM_KEY) > term_revision
-        ):
-            raise ConflictError((records.TERM_KEY,))
+        guarded_term = guards.get(records.TERM_KEY)
+        current_term = self._mirror.version(records.TERM_KEY)
+        if not sent_before and guarded_term is not None and current_term > guarded_term:
+            raise ConflictError((records.TERM_KEY,), current_term)
--- a/mosswalk/leadership/actor.py
+++ b/mosswalk/leadership/actor.py
@@ -142,9 +142,14 @@
     # Queries and requests from other parts of this process.
 
     def leads(self) -> bool:
-        """Whether this controller leads, according to the mirror."""
+        """Whether this controller leads, according to the mirror.
+
+        Not before the mirror has all changes that were committed before the term, as after
+        ``confirm_authority`` has read a new one.
+        """
         return (
             self.term is not None
+            and self._mirror.is_settled(records.TERM_KEY)
             and self._leader_presence is not None
             and self._leader_presence.run == self.run_id
             and self._leader_presence.node == self.node
@@ -210,9 +215,13 @@
         return self.term.term if self.term is not None else 0
 
     def owns(self, team: str) -> bool:
-        """Whether this run of this controller is the owner of a team."""
+        """Whether this run of this controller is the owner of a team.
+
+        Like ``leads``, not before the mirror has all changes that were committed before the term.
+        """
         return (
             self.term is not None
+            and self._mirror.is_settled(records.TERM_KEY)
             and self.term.owners.get(team) == self.node
             and self.term.runs.get(self.node) == self.run_id
         )
--- a/mosswalk/placement/owner.py
+++ b/mosswalk/placement/owner.py
@@ -87,6 +87,7 @@
         self._jobs_to_split: set[str] = set()
         self._split_checked_at_us = 0
         self._failures = FailureBackoff()
+        mirror.on_settled(self._wake.set)
 
     # Messages from the leader.
 
@@ -139,11 +140,7 @@
         for job in self._registry.withdrawn.values():
             # The last attempt ended while the job was being withdrawn: it only has to be closed.
             # An empty draft does that, because it puts the final record of such a job.
-            if (
-                job.record.live_count == 0
-                and job.id not in drafts
-                and self._leadership.owns(job.spec.team)
-            ):
+            if job.record.live_count == 0 and job.id not in drafts and self._may_change(job):
                 drafts[job.id] = Draft(job, self._limits)
         remaining_assignments: dict[str, list[Assignment]] = {}
         answers: list[tuple[asyncio.Future[OfferAnswer], int]] = []
@@ -195,6 +192,18 @@
                     attempt.machine,
                 )
 
+    def _may_change(self, job: Job) -> bool:
+        """Whether changes of a job may be computed from its records here.
+
+        A header that the mirror has ahead of other records may already count tasks that the job's
+        other records here do not show yet. Its version would pass the guard, and the change would
+        undo what was committed to those records.
+        """
+        return self._leadership.owns(job.spec.team) and self._is_settled(job)
+
+    def _is_settled(self, job: Job) -> bool:
+        return self._mirror.is_settled(records.job_key(job.id))
+
     async def _split_records(self) -> None:
         """Split records that the state service would reject, before anything else is written."""
         if not self._leadership.gangs_allowed():
@@ -211,7 +220,7 @@
             job
             for job_id in sorted(self._jobs_to_split)
             if (job := self._registry.jobs.get(job_id)) is not None
-            and self._leadership.owns(job.spec.team)
+            and self._may_change(job)
             and needs_split(job, self._limits)
         ]
         await asyncio.gather(*(self._split_job(job) for job in jobs[:_MAX_CONCURRENT_SPLITS]))
@@ -246,7 +255,7 @@
         either a commit of it has failed, or another owner was recording it and has been replaced.
         """
         for job in self._registry.gangs.values():
-            if job.record.gang_phase == "placing" and self._leadership.owns(job.spec.team):
+            if job.record.gang_phase == "placing" and self._may_change(job):
                 log.info(
                     "%s: ending gang attempt, only %d tasks were placed",
                     job.id,
@@ -264,6 +273,8 @@
             job = self._registry.jobs.get(job_id)
             if job is None or job.record.gang_phase != "placing" or not job.open:
                 break
+            if not self._may_change(job):
+                break
             draft = Draft(job, self._limits)
             previous_count = len(remaining)
             remaining = draft.place_gang(remaining, term)
@@ -328,6 +339,7 @@
             over_limit = limited and len(drafts) >= self._max_outcome_jobs
             if (
                 over_limit
+                or not self._is_settled(job)
                 or self._can_defer(job, job_outcomes)
                 or self._schedule_split_if_needed(job)
             ):
@@ -376,7 +388,9 @@
         jobs = [
             job
             for job in self._registry.unplaced.get(team.name, {}).values()
-            if job.id not in drafts and not self._schedule_split_if_needed(job)
+            if job.id not in drafts
+            and self._is_settled(job)
+            and not self._schedule_split_if_needed(job)
         ]
         queue = TeamQueue(
             team,
@@ -414,18 +428,14 @@
     async def _commit(self, change: Change) -> int | None:
         """Commit a change and apply it to the mirror; return its revision, or None if it failed.
 
-        After a conflict, the keys concerned are read again, so that the next round can succeed.
+        After a conflict, returns once the watch has shown what the change conflicted with. That may
+        be an earlier copy of the change itself, with attempts that count against the team's limit.
         """
         try:
             revision = await self._writer.commit(change)
         except ConflictError as conflict:
-            log.info("placement commit failed: %s", conflict)
-            # Final records are not mirrored.
-            keys = [k for k in conflict.failed if not k.startswith(records.FINAL_PREFIX)]
-            try:
-                await self._mirror.refresh(keys)
-            except (RefusedError, UnknownOutcomeError):
-                log.debug("refresh after a conflict failed; waiting for the watch")
+            log.info("placement commit failed at revision %d: %s", conflict.revision, conflict)
+            await self._mirror.wait_for_revision(conflict.revision)
             return None
         except (RefusedError, UnknownOutcomeError) as error:
             log.info("placement commit abandoned: %s", error)
--- a/mosswalk/store/client.py
+++ b/mosswalk/store/client.py
@@ -39,11 +39,15 @@
 
 
 class ConflictError(Exception):
-    """A guard of the transaction did not hold."""
+    """A guard of the transaction did not hold.
 
-    def __init__(self, failed: tuple[str, ...]) -> None:
+    ``revision`` is one at which the versions that made it fail had been written, 0 if unknown.
+    """
+
+    def __init__(self, failed: tuple[str, ...], revision: int = 0) -> None:
         super().__init__(f"guards failed: {', '.join(failed)}")
         self.failed = failed
+        self.revision = revision
 
 
 class NoLeaseError(Exception):
@@ -129,7 +133,8 @@
         if status == 200:
             return _decode(wire.Committed, answer).revision
         if status == 409:
-            raise ConflictError(_decode(wire.Conflict, answer).failed)
+            conflict = _decode(wire.Conflict, answer)
+            raise ConflictError(conflict.failed, conflict.revision)
         if status == 400 and b"lease" in answer:
             raise NoLeaseError
         log.error("state service: commit refused with status %d: %.200s", status, answer)
--- a/mosswalk/store/mirror.py
+++ b/mosswalk/store/mirror.py
@@ -1,7 +1,10 @@
 """A local copy of all keys under ``m/``, kept up to date by a watch.
 
 Events arrive in order, so a mirror that has applied an event also has all changes before it.
-A controller's own commits are applied at once; versions decide which of two values is newer.
+A controller's own commits are applied at once; versions decide which of two values is newer. A
+value that became known in another way may be newer than what the mirror has of other keys, for
+instance a job's header newer than the job's chunks. Its key is unsettled until the watch has
+reached its version, and no change may be computed from it before.
 """
 
 from __future__ import annotations
@@ -55,9 +58,14 @@
         self._entries: dict[str, Entry] = {}
         # The deleted keys among them, so that they are found without a search through all keys.
         self._deleted: set[str] = set()
+        # By key: the version of a value that may be newer than what the mirror has of other keys.
+        self._unsettled: dict[str, int] = {}
+        self._settled_callbacks: list[Callable[[], None]] = []
         self._listeners: list[tuple[str, Listener]] = []
         self._batch_listeners: list[Callable[[], None]] = []
         self.revision = 0
+        # Set, and then replaced, whenever the revision has increased.
+        self._advanced = asyncio.Event()
         self.loaded = False
         # Whether this controller needs changes without delay.
         self.wants_prompt_updates: Callable[[], bool] = lambda: True
@@ -72,6 +80,31 @@
         """Call ``callback`` after each batch of changes has been applied."""
         self._batch_listeners.append(callback)
 
+    def on_settled(self, callback: Callable[[], None]) -> None:
+        """Call ``callback`` when keys that were unsettled are settled."""
+        self._settled_callbacks.append(callback)
+
+    def is_settled(self, key: str) -> bool:
+        """Whether the mirror has all changes that were committed before the key's value."""
+        return key not in self._unsettled
+
+    async def wait_for_revision(self, revision: int) -> None:
+        """Wait until the watch has shown all changes up to a revision."""
+        while self.revision < revision:
+            await self._advanced.wait()
+
+    def _advance(self, revision: int) -> None:
+        """Note that the mirror has all changes up to a revision."""
+        self.revision = max(self.revision, revision)
+        self._advanced.set()
+        self._advanced = asyncio.Event()
+        settled = [key for key, version in self._unsettled.items() if version <= self.revision]
+        for key in settled:
+            del self._unsettled[key]
+        if settled:
+            for callback in self._settled_callbacks:
+                callback()
+
     def version(self, key: str) -> int:
         """The version for a guard (a condition of a commit): 0 if the key does not exist."""
         entry = self._entries.get(key)
@@ -88,8 +121,7 @@
 
     def apply(self, key: str, value: bytes | None, version: int) -> bool:
         """Apply a change unless the mirror has a newer one; return whether it was applied."""
-        entry = self._entries.get(key)
-        if entry is not None and entry.version >= version:
+        if not self._is_newer(key, version):
             return False
         self._entries[key] = Entry(version, value)
         if value is None:
@@ -105,37 +137,54 @@
                     log.exception("mirror: a listener failed on %s", key)
         return True
 
-    def apply_response(self, key: str, value: bytes | None, version: int) -> None:
-        """Apply the result of a commit or a read.
+    def _is_newer(self, key: str, version: int) -> bool:
+        """Whether a version is newer than the one that the mirror has of a key."""
+        entry = self._entries.get(key)
+        return entry is None or version > entry.version
+
+    def _apply_ahead(
+        self, key: str, value: bytes | None, version: int, *, is_settled: bool
+    ) -> None:
+        """Apply a value that the watch has not shown; an outdated one is ignored.
 
-        The watch may have passed that revision already, and a later deletion of the key with it.
-        The result is then outdated and must not restore the key.
+        The watch may have passed its version already, and a later deletion of the key with it. The
+        value must then not restore the key.
         """
-        if version > self.revision:
+        if version > self.revision and self._is_newer(key, version):
+            if not is_settled:
+                self._unsettled[key] = version
             self.apply(key, value, version)
 
+    def apply_response(self, key: str, value: bytes | None, version: int) -> None:
+        """Apply a value that was read or received; its key is unsettled until the watch shows it.
+
+        Outdated values are ignored.
+        """
+        self._apply_ahead(key, value, version, is_settled=False)
+
     def apply_change(self, change: Change, revision: int) -> None:
-        """Apply a change that has been committed."""
-        for key, value in change.puts.items():
-            if key.startswith(records.MIRROR_PREFIX):
-                self.apply_response(key, bytes(value), revision)
+        """Apply a change that has been committed.
+
+        A guarded key stays settled if it was, and if the value here is the one that was replaced:
+        then nothing that the key's version guards has changed in between.
+        """
+        writes: dict[str, bytes | None] = {
+            key: bytes(value)
+            for key, value in change.puts.items()
+            if key.startswith(records.MIRROR_PREFIX)
+        }
         # Changes delete only job headers and chunks, which are all mirrored.
-        for key in change.deletes:
-            self.apply_response(key, None, revision)
+        writes.update(dict.fromkeys(change.deletes))
+        for key, value in writes.items():
+            replaced = change.guards.get(key, self.version(key))
+            is_settled = self.is_settled(key) and self.version(key) == replaced
+            self._apply_ahead(key, value, revision, is_settled=is_settled)
 
     def notify_batch_applied(self) -> None:
         """Call the callbacks that wait for a batch of changes to be applied."""
         for callback in self._batch_listeners:
             callback()
 
-    async def refresh(self, keys: list[str]) -> None:
-        """Read keys again after a conflict or a commit of unknown outcome; ignores deletions."""
-        for key in keys:
-            row = await self._client.get(key)
-            if row is not None:
-                self.apply_response(key, bytes(row.value), row.version)
-        self.notify_batch_applied()
-
     async def read_latest(self, keys: tuple[str, ...]) -> None:
         """Read keys, including deletions, without waiting for the watch."""
         for key in keys:
@@ -148,17 +197,20 @@
         self.notify_batch_applied()
 
     async def _load(self) -> None:
+        """Read all keys as of the revision of the first page, then what changed meanwhile."""
         after: str | None = None
-        revision = 0
+        revision = newest_version = 0
         seen: set[str] = set()
         started_at_us = self._clock.now_us()
         while True:
             page = await self._client.read_range(records.MIRROR_PREFIX, after)
-            # Later pages may be newer than the first one. The watch starts at the first page's
-            # revision, and changes that arrive twice are recognized by their versions.
             revision = revision or page.revision
             for row in page.rows:
-                self.apply(row.key, bytes(row.value), row.version)
+                newest_version = max(newest_version, row.version)
+                # Later pages may be newer than the first one. The watch shows those changes in
+                # their order; a header applied here would be newer than its job's chunks.
+                if row.version <= revision:
+                    self.apply(row.key, bytes(row.value), row.version)
                 seen.add(row.key)
             if not page.truncated or not page.rows:
                 break
@@ -166,10 +218,12 @@
         for key in self.keys(records.MIRROR_PREFIX):
             if key not in seen and self._entries[key].version <= revision:
                 self.apply(key, None, revision)
-        self.revision = revision
-        self.confirmed_until_us = started_at_us
+        self._advance(revision)
+        while self.revision < newest_version:
+            await self._follow()
+        self.confirmed_until_us = max(self.confirmed_until_us, started_at_us)
         self.loaded = True
-        log.info("mirror loaded at revision %d: %d keys", revision, len(seen))
+        log.info("mirror loaded at revision %d: %d keys", self.revision, len(seen))
         self.notify_batch_applied()
 
     async def _follow(self) -> None:
@@ -183,7 +237,7 @@
             elif event.delete is not None:
                 # This is the deleted key.
                 self.apply(event.delete, None, event.version)
-        self.revision = max(self.revision, events.revision)
+        self._advance(events.revision)
         self.confirmed_until_us = started_at_us
         # Once the watch has passed a deletion, no older change can restore the key.
         for key in [k for k in self._deleted if self._entries[k].version <= self.revision]:
--- a/mosswalk/store/writer.py
+++ b/mosswalk/store/writer.py
@@ -286,7 +286,8 @@
                 k for k, v in zip(guards, versions, strict=True) if v not in (None, guards[k])
             )
             if failed:
-                self._fail(batch, ConflictError(failed))
+                revision = max(version for version in versions if version is not None)
+                self._fail(batch, ConflictError(failed, revision))
                 return
             await asyncio.sleep(_REJECTED_CHECK_PAUSE_S)
         if len(fail_fast) < len(batch):
--- a/mosswalk/wire/state.py
+++ b/mosswalk/wire/state.py
@@ -58,9 +58,10 @@
 
 
 class Conflict(Struct, frozen=True):
-    """The 409 response to a commit: the keys whose guards failed."""
+    """The 409 response to a commit: the keys whose guards failed, and the service's revision."""
 
     failed: tuple[str, ...]
+    revision: int = field(name="ledger", default=0)
 
 
 class LeaseRequest(Struct, frozen=True):
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -56,7 +56,7 @@
             if write.lease is not UNSET and write.lease not in self.leases:
                 raise NoLeaseError
         if failed:
-            raise ConflictError(failed)
+            raise ConflictError(failed, self.revision)
         if writes:
             self.revision += 1
         for write in writes:
--- a/tests/test_jobs.py
+++ b/tests/test_jobs.py
@@ -31,6 +31,12 @@
     def listen(self, prefix, listener):
         self.listeners.append((prefix, listener))
 
+    def on_settled(self, callback):
+        """Never called: changes are applied in order, so every key is settled."""
+
+    def is_settled(self, key):
+        return True
+
     def commit(self, change):
         for key, version in change.guards.items():
             assert self.rows.get(key, (None, 0))[1] == version
