fleet: attempts recorded on a machine after its confirmed release are lost

The first machine was faulty, and was released for it.

Cause: the attempts that the records show when the cloud confirms a release are reported as lost. Placements on that machine that are still in the owner's write queue are committed afterwards. A machine that is gone is not added from a record again, so it was never found silent, and nothing reported those attempts.

Change: on each tick the leader reports all attempts on machines known to be gone as lost, whenever they were recorded. A log line tells when a release is confirmed, with the number of attempts.

Why it works: a confirmed release proves that nothing runs on the machine, at any later time, since names are not used again. It covers the same end by another path, too: a leader that loses and regains the lead before the outcomes are recorded.

Ruled out: waiting with the release until the reservation of an offer has ended. The placement may be held up for longer than any reservation, for instance by an outage.

--- a/mosswalk/fleet/manager.py
+++ b/mosswalk/fleet/manager.py
@@ -437,9 +437,7 @@
         if now_us - self._list_requested_at_us > self._list_period_us():
             self._list_requested_at_us = now_us
             self.spawn(self.cloud.refresh_machine_list())
-        for name in list(self._registry.attempts_by_machine):
-            if name not in self.inventory.machines:
-                self.inventory.add_from_record(name, now_us)
+        self._review_recorded_machines()
         self._offers.mark_periodic_changes()
         self._stray_machines.probe(self._leading_since_us)
         for machine, reason in self._withdrawn_tasks.overdue(self._answering_since_us):
@@ -531,16 +529,36 @@
     def _on_released(self, names: Iterable[str]) -> None:
         """Remove released machines; the attempts recorded on them are lost."""
         for name in names:
-            for key in self._registry.attempts_on(name):
-                self._outcome_sender.add_confirmed(
-                    Outcome(task_name(key[0], key[1]), key[2], name, "lost")
-                )
+            lost = self._lost_attempts(name)
+            log.info("machine %s is gone with %d recorded attempts", name, len(lost))
+            for outcome in lost:
+                self._outcome_sender.add_confirmed(outcome)
             self.inventory.remove(name, self._clock.now_us())
             self._offers.mark_changed(name)
             self._command_sender.remove_machine(name)
         self._outcome_sender.send_new()
         self.fleet_changed()
 
+    def _lost_attempts(self, name: str) -> list[Outcome]:
+        """The outcomes of all attempts that the records show on a machine that is gone."""
+        return [
+            Outcome(task_name(job, task), number, name, "lost")
+            for job, task, number in self._registry.attempts_on(name)
+        ]
+
+    def _review_recorded_machines(self) -> None:
+        """Add the machines that only records name; attempts on machines that are gone are lost.
+
+        A placement may be recorded after its machine is gone: an owner commits it seconds after the
+        offer, or later if the state service is slow or was down.
+        """
+        for name in list(self._registry.attempts_by_machine):
+            if self.inventory.is_gone(name):
+                for outcome in self._lost_attempts(name):
+                    self._outcome_sender.add_reported(outcome)
+            else:
+                self.inventory.add_from_record(name, self._clock.now_us())
+
     def _load_recorded_types(self) -> None:
         """Load machine types from the records, to be used until the cloud sends them with prices.
 
--- a/mosswalk/fleet/outcome_sender.py
+++ b/mosswalk/fleet/outcome_sender.py
@@ -66,7 +66,7 @@
         self._unsent.clear()
 
     def add_reported(self, outcome: Outcome) -> None:
-        """Add an outcome that a worker has reported; if sent before, it waits for its resend."""
+        """Add an outcome that is known from a report or again; if sent, it waits for its resend."""
         key = (outcome.task, outcome.attempt)
         pending = self._pending.get(key)
         if pending is None:
--- a/tests/simulated_services.py
+++ b/tests/simulated_services.py
@@ -178,9 +178,10 @@
         self.controller_index = region.rng.randrange(len(region.controller_names))
         # When it sent the last report that was answered.
         self.last_answered_at_s = 0.0
-        # Two faults. receives_nothing: neither commands nor answers arrive. cannot_report: no
-        # report gets out, while commands still arrive.
+        # Three faults. receives_nothing: neither commands nor answers arrive. cannot_report: no
+        # report gets out, while commands still arrive. faulty: every task fails as it starts.
         self.up = self.destroyed = self.receives_nothing = self.cannot_report = False
+        self.faulty = False
         self.spot_notice_s: float | None = None
         self.kept: list[bytes] = []
         self._changed = asyncio.Event()
@@ -293,6 +294,9 @@
                 row["until"] = now + self.region.draw_run_time_s(key[0])
                 self._changed.set()
                 self.region.on_task_started(self, key[0])
+                if self.faulty:
+                    self.end_task(key, "error")
+                    continue
                 if spec.kind == "group":
                     row["phase"], row["until"] = "gathering", now + GANG_WAIT_S
             if self.region.spec_of(key[0]).kind == "group":
