jobs: keep each change of a job below the size of a transaction

Cause: four machines came up during the outage, so that one round placed all tasks. A draft was bounded by the number of its records and the size of each, not by the 64 KiB of the transaction. The change was refused with 400 and dropped, and the next round made the same one.

Change: a draft counts the size of its transaction; what doesn't fit goes into the next round. One record besides the header always fits, since a record is kept below half a transaction. The same cause on related paths: outcomes of many records, the split of records after lowered limits. "placed" is logged for committed changes only, and a refused commit with its size.

Why it works: no round makes a change that the service refuses for its size, and each round with something to write makes a change of at least one record, so rounds come to an end.

The stand-ins of the state service now refuse transactions that are too large, in all tests.

Ruled out: halving a change after a 400; the size is known beforehand, and a 400 costs writes.

--- a/mosswalk/jobs/layout.py
+++ b/mosswalk/jobs/layout.py
@@ -30,13 +30,16 @@
 
     def changes(self, guards: dict[str, int], max_writes: int) -> list[Change]:
         """The transactions that write the split, to be committed one after the other."""
-        key = records.job_key(self.header.spec.id)
-        header = {key: Raw(records.encode(self.header))}
-        chunks = [(k, Raw(records.encode(tasks))) for k, tasks in self.chunks.items()]
-        if len(chunks) < max_writes:
-            return [Change(guards, {**dict(chunks), **header})]
-        steps = [chunks[i : i + max_writes] for i in range(0, len(chunks), max_writes)]
-        return [*(Change(guards, dict(step)) for step in steps), Change(guards, header)]
+        # The header comes last: until it is written, no controller reads the new chunks.
+        puts = [(key, records.encode(tasks)) for key, tasks in self.chunks.items()]
+        puts.append((records.job_key(self.header.spec.id), records.encode(self.header)))
+        steps: list[Change] = []
+        for key, value in puts:
+            put = {key: Raw(value)}
+            if not steps or not steps[-1].has_room_for(put, max_writes):
+                steps.append(Change(guards, {}))
+            steps[-1].puts.update(put)
+        return steps
 
 
 def split_records(job: Job, limits: RecordLimits) -> SplitRecords:
--- a/mosswalk/jobs/state.py
+++ b/mosswalk/jobs/state.py
@@ -191,10 +191,11 @@
     def __init__(self, job: Job, limits: records.RecordLimits) -> None:
         self.job = job
         self.record = job.record
-        # Every transaction writes the header as well.
-        self._max_chunks = limits.txn_ops - 1
+        self._max_records = limits.txn_ops
         self._value_bytes = limits.value_bytes
         self._chunks: dict[int, TaskChunk] = {}
+        # By chunk: the maximum size of its record if it is written now, in bytes.
+        self._record_bytes: dict[int, int] = {}
         self.placed: list[Attempt] = []
         self.ended: list[Attempt] = []
 
@@ -202,11 +203,6 @@
         found = self._chunks.get(chunk)
         return self.job.tasks_of(chunk) if found is None else found
 
-    def _can_write_chunk(self, chunk: int) -> bool:
-        if chunk == 0 or chunk in self._chunks:
-            return True
-        return sum(1 for c in self._chunks if c) < self._max_chunks
-
     def _fits_record(self, chunk: int, tasks: TaskChunk, machine: str) -> bool:
         """Whether the record stays within the service's size limit with one more attempt.
 
@@ -221,15 +217,40 @@
         header = records.max_header_bytes(self.record.spec) if chunk == 0 else 0
         return rows + len(tasks.done) + header <= self._value_bytes
 
+    def _max_record_bytes(self, chunk: int) -> int:
+        """The maximum size of a chunk's record in a transaction with the changes so far, in bytes.
+
+        An attempt that is removed does not count less: at most a digit of the mask of done tasks
+        takes its place.
+        """
+        size = self._record_bytes.get(chunk)
+        if size is None:
+            size = len(records.encode(self._tasks(chunk))) + records.RECORD_OVERHEAD_BYTES
+            if chunk == 0:
+                size += records.max_header_bytes(self.record.spec)
+            self._record_bytes[chunk] = size
+        return size
+
+    def _fits_transaction(self, chunk: int, added_bytes: int = 0) -> bool:
+        """Whether a chunk can be written with the others, given by how much its record grows."""
+        written = {0, chunk, *self._chunks}
+        if len(written) > self._max_records:
+            return False
+        if len(written) <= records.MIN_RECORDS_PER_TRANSACTION:
+            return True
+        size = added_bytes + sum(self._max_record_bytes(number) for number in written)
+        return size <= records.MAX_TRANSACTION_BYTES
+
     def record_outcome(self, index: int, number: int, kind: OutcomeKind) -> bool:
         """Remove an attempt that has ended, and mark an array's task as done if it succeeded.
 
-        Return False if it is not recorded or its chunk doesn't fit this transaction.
+        Return False if it is not recorded or its chunk doesn't fit this transaction. The chunks of
+        the first two records of a draft always fit.
         """
         chunk = self.job.chunk_of(index)
         tasks = self._tasks(chunk)
         removed = next((a for a in tasks.live if a.task == index and a.number == number), None)
-        if removed is None or not self._can_write_chunk(chunk):
+        if removed is None or not self._fits_transaction(chunk):
             return False
         done = tasks.done
         if self.job.is_gang:
@@ -296,10 +317,14 @@
         if tasks.done_mask() >> (index - chunk * self.record.chunk_size) & 1:
             return None
         # A task must never run twice: no second attempt while the first one may still run.
-        if any(a.task == index for a in tasks.live) or not self._can_write_chunk(chunk):
+        if any(a.task == index for a in tasks.live):
             return None
-        if not self._fits_record(chunk, tasks, assignment.machine):
+        row_bytes = records.max_row_bytes(assignment.machine)
+        if not self._fits_record(chunk, tasks, assignment.machine) or not self._fits_transaction(
+            chunk, row_bytes
+        ):
             return None
+        self._record_bytes[chunk] = self._max_record_bytes(chunk) + row_bytes
         attempt = Attempt(index, number, assignment.machine, assignment.session, term)
         self._chunks[chunk] = TaskChunk(tasks.done, (*tasks.live, attempt))
         self.record = structs.replace(self.record, live_count=self.record.live_count + 1)
@@ -349,7 +374,7 @@
 
 def record_limits(state: StateLimits) -> records.RecordLimits:
     """The limits for records that follow from the state service's limits."""
-    return records.RecordLimits(int(state.value_kb * 1024), state.txn_ops)
+    return records.RecordLimits.of_service(int(state.value_kb * 1024), state.txn_ops)
 
 
 def new_record(spec: JobSpec, submitted_at_us: int, chunk_size: int) -> JobRecord:
--- a/mosswalk/placement/owner.py
+++ b/mosswalk/placement/owner.py
@@ -168,8 +168,11 @@
                         )
             answers.append((future, placed))
         guards = {records.TERM_KEY: self._leadership.term_version}
-        changes = [d.to_change(guards) for d in drafts.values() if d.has_changes()]
-        revisions = await asyncio.gather(*(self._commit(c) for c in changes))
+        changed = [draft for draft in drafts.values() if draft.has_changes()]
+        revisions = await asyncio.gather(*(self._commit(d.to_change(guards)) for d in changed))
+        for draft, committed in zip(changed, revisions, strict=True):
+            if committed is not None:
+                _log_placements(draft)
         revisions += await asyncio.gather(
             *(
                 self._write_remaining(job_id, remaining, term.term)
@@ -182,15 +185,6 @@
         for future, placed in answers:
             if not future.done():
                 future.set_result(OfferAnswer(revision, placed))
-        for draft in drafts.values():
-            for attempt in draft.placed:
-                log.info(
-                    "placed %s/%d attempt %d on %s",
-                    draft.job.id,
-                    attempt.task,
-                    attempt.number,
-                    attempt.machine,
-                )
 
     def _may_change(self, job: Job) -> bool:
         """Whether changes of a job may be computed from its records here.
@@ -285,6 +279,7 @@
             )
             if revision is None:
                 break
+            _log_placements(draft)
         return revision
 
     def _can_defer(self, job: Job, outcomes: list[tuple[int, int, Outcome]]) -> bool:
@@ -351,7 +346,9 @@
             draft = drafts.setdefault(job_id, Draft(job, self._limits))
             for index, number, outcome in job_outcomes:
                 if not draft.record_outcome(index, number, outcome.kind):
-                    # Too many chunks for one transaction: the leader repeats the outcome later.
+                    # It does not fit this round's transaction: the next round records it.
+                    self._outcomes[(outcome.task, number)] = outcome
+                    self._wake.set()
                     continue
                 log.info(
                     "%s attempt %d on %s: %s", outcome.task, number, outcome.machine, outcome.kind
@@ -448,3 +445,14 @@
         self._failures.retain_only(jobs)
         for job_id in [job_id for job_id in self._deferred_since_us if job_id not in jobs]:
             del self._deferred_since_us[job_id]
+
+
+def _log_placements(draft: Draft) -> None:
+    for attempt in draft.placed:
+        log.info(
+            "placed %s/%d attempt %d on %s",
+            draft.job.id,
+            attempt.task,
+            attempt.number,
+            attempt.machine,
+        )
--- a/mosswalk/store/client.py
+++ b/mosswalk/store/client.py
@@ -137,7 +137,12 @@
             raise ConflictError(conflict.failed, conflict.revision)
         if status == 400 and b"lease" in answer:
             raise NoLeaseError
-        log.error("state service: commit refused with status %d: %.200s", status, answer)
+        log.error(
+            "state service: commit of %d bytes refused with status %d: %.200s",
+            len(body),
+            status,
+            answer,
+        )
         if status == 400:
             raise InvalidRequestError("status 400")
         raise RefusedError(f"status {status}")
--- a/mosswalk/store/records.py
+++ b/mosswalk/store/records.py
@@ -16,6 +16,7 @@
 import msgspec
 from msgspec import UNSET, Struct, UnsetType, field
 
+from mosswalk.wire import state as wire
 from mosswalk.wire.cloud import MachineType
 from mosswalk.wire.users import JobSpec, Phase
 
@@ -40,6 +41,13 @@
 # The maximum size of a header without its tasks and the job spec.
 _MAX_HEADER_OVERHEAD_BYTES = 320
 _MAX_CHUNK_TASKS = 256
+# The estimated size of a transaction is kept below this; the difference is a margin.
+MAX_TRANSACTION_BYTES = wire.MAX_TRANSACTION_BYTES - 4 * 1024
+# What a record adds to a transaction at most besides its own size: its key, put and guards, and the
+# digits by which its mask of done tasks grows.
+RECORD_OVERHEAD_BYTES = 256
+# A job's header is written with every other record of the job, so at least these always fit.
+MIN_RECORDS_PER_TRANSACTION = 2
 # The maximum size of a row without the machine's name.
 _MAX_ROW_OVERHEAD_BYTES = 34
 
@@ -55,6 +63,12 @@
     value_bytes: int
     txn_ops: int
 
+    @classmethod
+    def of_service(cls, value_bytes: int, txn_ops: int) -> RecordLimits:
+        """The limits that follow from the state service's limits on a value and a transaction."""
+        share = MAX_TRANSACTION_BYTES // MIN_RECORDS_PER_TRANSACTION - RECORD_OVERHEAD_BYTES
+        return cls(min(value_bytes, share), txn_ops)
+
 
 def max_header_bytes(spec: JobSpec) -> int:
     """The maximum size of a job's header without its tasks, in bytes."""
--- a/mosswalk/store/writer.py
+++ b/mosswalk/store/writer.py
@@ -28,12 +28,12 @@
     ThrottledError,
     UnknownOutcomeError,
 )
+from mosswalk.store.records import MAX_TRANSACTION_BYTES
 from mosswalk.store.throttle import Throttle
 from mosswalk.wire import state as wire
 
 log = logging.getLogger(__name__)
 
-_MAX_TRANSACTION_BYTES = 60 * 1024
 _MAX_COMMITS_IN_FLIGHT = 4
 # A batch of several changes has at most this many guards per operation that the service allows in a
 # transaction. The limit on operations itself counts only writes.
@@ -79,9 +79,18 @@
 
     def estimated_bytes(self) -> int:
         """The estimated size of the change in a transaction, in bytes."""
-        return sum(
-            len(bytes(v)) + len(k) + _PUT_OVERHEAD_BYTES for k, v in self.puts.items()
-        ) + _GUARD_OR_DELETE_BYTES * (len(self.guards) + len(self.deletes))
+        return _estimated_put_bytes(self.puts) + _GUARD_OR_DELETE_BYTES * (
+            len(self.guards) + len(self.deletes)
+        )
+
+    def has_room_for(self, puts: Mapping[str, Raw], max_writes: int) -> bool:
+        """Whether these puts and the change fit into one transaction."""
+        size = self.estimated_bytes() + _estimated_put_bytes(puts)
+        return self.write_count() + len(puts) <= max_writes and size <= MAX_TRANSACTION_BYTES
+
+
+def _estimated_put_bytes(puts: Mapping[str, Raw]) -> int:
+    return sum(len(bytes(v)) + len(k) + _PUT_OVERHEAD_BYTES for k, v in puts.items())
 
 
 class _QueuedChange:
@@ -166,7 +175,7 @@
             )
             ops += change.write_count()
             size += change.estimated_bytes()
-            if batch and (ops > self._max_ops or size > _MAX_TRANSACTION_BYTES or conflicts):
+            if batch and (ops > self._max_ops or size > MAX_TRANSACTION_BYTES or conflicts):
                 break
             if batch and (self._queue[0].commit_alone or batch[0].commit_alone):
                 break
--- a/mosswalk/wire/state.py
+++ b/mosswalk/wire/state.py
@@ -7,6 +7,9 @@
 
 from msgspec import UNSET, Raw, Struct, UnsetType, field
 
+# The largest transaction that the service accepts, encoded.
+MAX_TRANSACTION_BYTES = 64 * 1024
+
 
 class Row(Struct, frozen=True):
     """A key with its value, its version and the id of the lease it is attached to, if any."""
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -12,7 +12,13 @@
 import msgspec
 from msgspec import UNSET, Raw
 
-from mosswalk.store.client import ConflictError, NoLeaseError, RefusedError, UnknownOutcomeError
+from mosswalk.store.client import (
+    ConflictError,
+    InvalidRequestError,
+    NoLeaseError,
+    RefusedError,
+    UnknownOutcomeError,
+)
 from mosswalk.store.records import RecordLimits
 from mosswalk.wire import state as wire
 from mosswalk.wire.cloud import MachineType
@@ -92,6 +98,11 @@
             self._delete(key)
 
 
+def is_too_large(transaction: wire.Transaction) -> bool:
+    """Whether the state service answers a transaction with 400 for its size."""
+    return len(msgspec.json.encode(transaction)) > 64 * 1024
+
+
 class FakeStateClient:
     """A client of the state service whose commits fail or are delayed as a test has planned.
 
@@ -112,6 +123,8 @@
 
     async def commit(self, transaction: wire.Transaction, timeout_s: float = 0) -> int:
         self.commit_count += 1
+        if is_too_large(transaction):
+            raise InvalidRequestError("status 400")
         result = self.planned_results.popleft() if self.planned_results else "ok"
         if result == "refused":
             raise RefusedError("planned")
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -42,7 +42,7 @@
 from mosswalk.service import Controller, listen
 from mosswalk.store.client import ConflictError, NoLeaseError
 from mosswalk.wire import state as wire
-from tests.fakes import InMemoryStore, machine_type
+from tests.fakes import InMemoryStore, is_too_large, machine_type
 
 REPORT_S = 0.25
 LEASE_S = 5.0
@@ -147,6 +147,8 @@
     async def handle_commit(self, request):
         self._check_available(request)
         transaction = msgspec.json.decode(await request.read(), type=wire.Transaction)
+        if is_too_large(transaction):
+            return web.json_response({"error": "too large"}, status=400)
         try:
             return web.json_response({"ledger": self.store.commit(transaction)})
         except ConflictError as error:
--- a/tests/simulated_services.py
+++ b/tests/simulated_services.py
@@ -12,7 +12,7 @@
 
 from mosswalk.store.client import ConflictError, NoLeaseError
 from mosswalk.wire import state as wire
-from tests.fakes import InMemoryStore
+from tests.fakes import InMemoryStore, is_too_large
 from tests.simulated_gangs import GANG_WAIT_S
 
 if TYPE_CHECKING:
@@ -89,6 +89,8 @@
 
     async def _commit(self, body: bytes) -> tuple[int, bytes]:
         transaction = msgspec.json.decode(body, type=wire.Transaction)
+        if is_too_large(transaction):
+            return 400, b'{"error":"too large"}'
         if self.region.rng.random() < self.late_commit_share:
             self.region.network.spawn(self._commit_late(transaction))
             await asyncio.sleep(60.0)
--- a/tests/test_jobs.py
+++ b/tests/test_jobs.py
@@ -12,7 +12,8 @@
 from mosswalk.store import records
 from mosswalk.store.records import RecordLimits
 from mosswalk.store.writer import Change
-from tests.fakes import RECORD_LIMITS, job_spec, machine_type
+from mosswalk.wire import state as wire
+from tests.fakes import RECORD_LIMITS, is_too_large, job_spec, machine_type
 
 TASKS = 30
 MAX_OPS = 5
@@ -41,6 +42,10 @@
         for key, version in change.guards.items():
             assert self.rows.get(key, (None, 0))[1] == version
         assert change.write_count() <= self.max_ops
+        guards = tuple(wire.Guard(key, version) for key, version in change.guards.items())
+        puts = (wire.Write(key=key, value=value) for key, value in change.puts.items())
+        deletes = (wire.Write(delete=key) for key in change.deletes)
+        assert not is_too_large(wire.Transaction(guards, (*puts, *deletes)))
         self.revision += 1
         for key, value in [*change.puts.items(), *((k, None) for k in change.deletes)]:
             if value is None:
@@ -164,14 +169,29 @@
 
 
 def test_records_of_a_job_of_100000_tasks_fit_the_limits():
+    """As many tasks as 15 records hold are placed in as many commits as their size requires."""
+    mirror = InMemoryMirror()
+    mirror.max_ops = RECORD_LIMITS.txn_ops
+    registry = JobRegistry(mirror)
     size = records.chunk_size(RECORD_LIMITS, job_spec(tasks=100_000))
-    job = Job(new_record(job_spec(tasks=100_000), 1 << 52, size), 1)
-    draft = Draft(job, RECORD_LIMITS)
-    placed = [draft.place(Assignment(i, "vm-00123456", 100), 1 << 40) for i in range(15 * size)]
-    change = draft.to_change({})
-    assert change.write_count() <= 16
-    assert sum(p is not None for p in placed) == 15 * size
-    assert max(len(bytes(v)) for v in change.puts.values()) <= 16 * 1024
+    key = records.job_key("j-000001")
+    record = new_record(job_spec(tasks=100_000), 1 << 52, size)
+    mirror.commit(Change({key: 0}, {key: Raw(records.encode(record))}))
+    unplaced, commits = list(range(15 * size)), 0
+    while unplaced:
+        draft = Draft(registry.jobs["j-000001"], RECORD_LIMITS)
+        unplaced = [
+            i for i in unplaced if not draft.place(Assignment(i, "vm-00123456", 100), 1 << 40)
+        ]
+        change = draft.to_change({})
+        assert change.write_count() <= 16
+        assert max(len(bytes(v)) for v in change.puts.values()) <= 16 * 1024
+        mirror.commit(change)
+        commits += 1
+    live = list(registry.jobs["j-000001"].live_attempts())
+    assert {attempt.task for attempt in live} == set(range(15 * size))
+    # Encoded rows of 40 bytes, in transactions that are nearly full.
+    assert commits <= 15 * size * 44 // (48 * 1024) + 1
 
 
 def test_completed_replica_of_a_daemon_is_placed_again():
