fleet: at most 512 commands in a message to a worker

Change: a message has at most 512 commands of up to 110 bytes. What is left of queued ones is sent when the request has ended; what an answer leaves out follows from the next report.

--- a/mosswalk/fleet/command_sender.py
+++ b/mosswalk/fleet/command_sender.py
@@ -16,7 +16,7 @@
 from mosswalk.jobs.registry import AttemptKey, JobRegistry
 from mosswalk.jobs.state import parse_task_name
 from mosswalk.leadership.actor import Leadership
-from mosswalk.wire.workers import Command, DirectCommands, Report
+from mosswalk.wire.workers import MAX_COMMANDS_PER_MESSAGE, Command, DirectCommands, Report
 
 log = logging.getLogger(__name__)
 
@@ -127,7 +127,8 @@
         if pending is None:
             return
         pending.scheduled = False
-        commands, pending.commands = pending.commands, []
+        commands = pending.commands[:MAX_COMMANDS_PER_MESSAGE]
+        pending.commands = pending.commands[MAX_COMMANDS_PER_MESSAGE:]
         probe, pending.probe = pending.probe, False
         if (
             machine is None
@@ -135,6 +136,7 @@
             or machine.releasing
             or not self._leadership.may_renew_worker_leases()
         ):
+            pending.commands.clear()
             return
         may_start = self._leadership.may_start_tasks()
         attempts = self._registry.attempts_on(name)
@@ -155,6 +157,7 @@
                 continue
             to_send.append(command)
         if not to_send and not probe:
+            self._schedule(name, pending)
             return
         pending.in_flight = True
         starts = tuple((c.task, c.attempt) for c in to_send if c.op == "run")
--- a/mosswalk/fleet/follower_reports.py
+++ b/mosswalk/fleet/follower_reports.py
@@ -17,7 +17,7 @@
 from mosswalk.fleet.report_evaluation import kill_commands_for_closed_jobs
 from mosswalk.jobs.registry import JobRegistry
 from mosswalk.leadership.actor import Leadership
-from mosswalk.wire.workers import Redirect, Report, ReportAnswer
+from mosswalk.wire.workers import MAX_COMMANDS_PER_MESSAGE, Redirect, Report, ReportAnswer
 
 log = logging.getLogger(__name__)
 
@@ -53,8 +53,11 @@
     def answer(self, report: Report) -> tuple[int, bytes]:
         """Return status and body of the answer to a report."""
         if self._may_renew_lease(report):
-            commands = tuple(kill_commands_for_closed_jobs(report, self._registry.jobs))
-            return 200, msgspec.json.encode(ReportAnswer(self._leadership.term_number(), commands))
+            commands = kill_commands_for_closed_jobs(report, self._registry.jobs)
+            answer = ReportAnswer(
+                self._leadership.term_number(), tuple(commands[:MAX_COMMANDS_PER_MESSAGE])
+            )
+            return 200, msgspec.json.encode(answer)
         # The leader asks for the count of the first; the second shows this controller whether a
         # worker comes back after it was sent away.
         self.recent_workers.record(report.machine)
--- a/mosswalk/fleet/report_intake.py
+++ b/mosswalk/fleet/report_intake.py
@@ -22,7 +22,7 @@
 from mosswalk.jobs.registry import JobRegistry
 from mosswalk.jobs.state import parse_task_name
 from mosswalk.leadership.actor import Leadership
-from mosswalk.wire.workers import Command, Report
+from mosswalk.wire.workers import MAX_COMMANDS_PER_MESSAGE, Command, Report
 
 log = logging.getLogger(__name__)
 
@@ -160,16 +160,16 @@
             # do.
             self._offers.mark_changed(machine.name)
             self._listener.fleet_changed()
-        for command in evaluation.commands:
+        # What is left out follows from the next report again.
+        commands = evaluation.commands[:MAX_COMMANDS_PER_MESSAGE]
+        for command in commands:
             log.debug("command to %s: %s", machine.name, command)
         if is_periodic:
             confirmable = tuple(
-                command
-                for command in evaluation.commands
-                if next_report_confirms(self._registry, command)
+                command for command in commands if next_report_confirms(self._registry, command)
             )
             machine.record_answer(self._leadership.term_number(), confirmable, now_us)
-        return evaluation.commands
+        return commands
 
     def _is_startable(self, job_id: str) -> bool:
         job = self._registry.jobs.get(job_id)
--- a/mosswalk/wire/workers.py
+++ b/mosswalk/wire/workers.py
@@ -6,6 +6,10 @@
 
 from msgspec import Struct, field
 
+# A body of /orders and a line of an answer to a report hold 64 KiB, and a command takes up to 110
+# bytes.
+MAX_COMMANDS_PER_MESSAGE = 512
+
 
 # ``gc=False``, on this struct and on all others that exist once per task or machine: they can't
 # be part of a reference cycle, so the garbage collector need not traverse them. With 4,000
