--- a/tests/simulated_services.py
+++ b/tests/simulated_services.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+from collections.abc import Callable
 from typing import TYPE_CHECKING
 from urllib.parse import parse_qs, urlsplit
 
@@ -35,17 +36,23 @@
         self.refused_senders: set[str] = set()
         # The share of transactions that are committed late, without an answer in time.
         self.late_commit_share = 0.0
+        # How long a sender's connections are reset once a transaction has been applied: it gets
+        # no answer to it.
+        self.cut_after_commit_s: Callable[[str, wire.Transaction], float] = lambda *_: 0.0
+        # By sender: until when its connections are reset.
+        self._cut_until_s: dict[str, float] = {}
         self._changed = asyncio.Event()
 
     async def serve(self, method: str, path: str, body: bytes, sender: str) -> tuple[int, bytes]:
         url = urlsplit(path)
         query = {k: v[0] for k, v in parse_qs(url.query).items()}
+        self._check_connection(sender)
         if url.path == "/follow":
             return await self._follow(query, sender)
         if self.down or sender in self.refused_senders:
             return 503, b"{}"
         if url.path == "/commit":
-            return await self._commit(body)
+            return await self._commit(body, sender)
         if url.path == "/holds":
             ttl = json.loads(body)["ttl_ms"] / 1000
             lease = self.store.grant()
@@ -87,14 +94,21 @@
             }
         )
 
-    async def _commit(self, body: bytes) -> tuple[int, bytes]:
+    def _check_connection(self, sender: str) -> None:
+        if self.region.now() < self._cut_until_s.get(sender, 0.0):
+            raise aiohttp.ServerDisconnectedError
+
+    async def _commit(self, body: bytes, sender: str) -> tuple[int, bytes]:
         transaction = msgspec.json.decode(body, type=wire.Transaction)
         if is_too_large(transaction):
             return 400, b'{"error":"too large"}'
         if self.region.rng.random() < self.late_commit_share:
             self.region.network.spawn(self._commit_late(transaction))
             await asyncio.sleep(60.0)
-        return self._apply(transaction)
+        self._cut_until_s[sender] = self.region.now() + self.cut_after_commit_s(sender, transaction)
+        answer = self._apply(transaction)
+        self._check_connection(sender)
+        return answer
 
     async def _commit_late(self, transaction: wire.Transaction) -> None:
         await asyncio.sleep(self.region.rng.uniform(2.0, 12.0))
@@ -123,6 +137,7 @@
         answer_at_s = self.region.now() + int(query.get("hold_ms", 0)) / 1000
         while True:
             changed = self._changed
+            self._check_connection(sender)
             if not self.down and sender not in self.refused_senders:
                 events = [
                     e
