fleet: log and count the commands to workers, their answers and unrecorded attempts

Nothing above debug level in a controller's log said which command was sent with which token and session, what the worker answered, or that an attempt was reaped; no metric counted refused commands or attempts that no record has.

Change: fleet/command_log.py writes one line for each message that carries commands (not for each command) and one for its answer; a warning when a worker begins to report an attempt that no record has. Metrics mosswalk_direct_commands by answer, mosswalk_commands by kind, mosswalk_unrecorded_attempts. The line of a new term names its revision.

--- a/mosswalk/fleet/command_sender.py
+++ b/mosswalk/fleet/command_sender.py
@@ -11,6 +11,7 @@
 from msgspec import Struct, field
 
 from mosswalk.actors import Clock
+from mosswalk.fleet.command_log import CommandLog
 from mosswalk.fleet.inventory import Inventory, Machine
 from mosswalk.fleet.messages import DirectCommandsDone
 from mosswalk.jobs.registry import AttemptKey, JobRegistry
@@ -50,6 +51,7 @@
         spawn: Callable[[Awaitable[None]], None],
         clock: Clock,
         worker_sockets: int,
+        command_log: CommandLog,
     ) -> None:
         self._inventory = inventory
         self._registry = registry
@@ -59,6 +61,7 @@
         self._on_done = on_done
         self._spawn = spawn
         self._clock = clock
+        self._command_log = command_log
         self._pending: dict[str, _PendingRequest] = {}
         # Number of sockets for all connections with workers, and the machines to which a connection
         # may stay open. Each machine also takes one of these sockets for its reports.
@@ -166,6 +169,7 @@
             # Until it is answered, the start may be executed at any later time.
             machine.unanswered_starts[start] = (term, machine.session)
         message = DirectCommands(term, machine.session, tuple(to_send))
+        self._command_log.direct_sent(name, message)
         self._spawn(self._post(machine.name, machine.address, message, starts))
 
     async def _post(
@@ -185,13 +189,14 @@
                 body = await response.read()
                 if response.status in (200, 409):
                     report = msgspec.json.decode(body, type=Report)
-                else:
-                    log.error("worker %s: /orders answered %d", name, response.status)
-        except aiohttp.ClientConnectorError:
+                self._command_log.direct_answered(name, message, response.status, report)
+        except aiohttp.ClientConnectorError as error:
             # A failed connection attempt does not complete later, so nothing was sent.
             sent = False
+            self._command_log.direct_unanswered(name, message, error)
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
-            log.debug("commands to %s: no answer: %r", name, error)
+            self._command_log.direct_unanswered(name, message, error)
         except msgspec.DecodeError as error:
+            self._command_log.direct_unanswered(name, message, error)
             log.error("worker %s: discarding malformed answer to /orders: %s", name, error)
         self._on_done(DirectCommandsDone(name, message.term, message.session, starts, sent, report))
--- a/mosswalk/fleet/follower_reports.py
+++ b/mosswalk/fleet/follower_reports.py
@@ -13,6 +13,7 @@
 
 from mosswalk.actors import SECOND_US, Clock, to_us
 from mosswalk.config import WorkerLimits
+from mosswalk.fleet.command_log import CommandLog
 from mosswalk.fleet.recent_workers import RecentWorkers
 from mosswalk.fleet.report_evaluation import kill_commands_for_closed_jobs
 from mosswalk.jobs.registry import JobRegistry
@@ -31,10 +32,16 @@
     """Answers reports while another controller leads, or this leader may not renew leases."""
 
     def __init__(
-        self, limits: WorkerLimits, registry: JobRegistry, leadership: Leadership, clock: Clock
+        self,
+        limits: WorkerLimits,
+        registry: JobRegistry,
+        leadership: Leadership,
+        command_log: CommandLog,
+        clock: Clock,
     ) -> None:
         self._registry = registry
         self._leadership = leadership
+        self._command_log = command_log
         # Workers that reported here recently, which the leader asks for. The window spans the
         # interval between two polls and that between two reports, so that no worker is missed.
         self.recent_workers = RecentWorkers(
@@ -57,6 +64,7 @@
             answer = ReportAnswer(
                 self._leadership.term_number(), tuple(commands[:MAX_COMMANDS_PER_MESSAGE])
             )
+            self._command_log.report_answered(report, answer.term, answer.commands)
             return 200, msgspec.json.encode(answer)
         # The leader asks for the count of the first; the second shows this controller whether a
         # worker comes back after it was sent away.
--- a/mosswalk/fleet/manager.py
+++ b/mosswalk/fleet/manager.py
@@ -25,6 +25,7 @@
 from mosswalk.config import Settings
 from mosswalk.config.sockets import socket_budget
 from mosswalk.factory.view import Release, WaitingTasks
+from mosswalk.fleet.command_log import CommandLog
 from mosswalk.fleet.command_sender import CommandSender
 from mosswalk.fleet.consolidating import Consolidator
 from mosswalk.fleet.follower_reports import FollowerReports
@@ -170,6 +171,7 @@
             self._offers.is_silent,
             clock,
         )
+        self.command_log = CommandLog()
         self._command_sender = CommandSender(
             self.inventory,
             registry,
@@ -180,6 +182,7 @@
             self.spawn,
             clock,
             socket_budget(settings.params.machine_limits.max_connections).workers,
+            self.command_log,
         )
         self._report_intake = ReportIntake(
             workers,
@@ -189,6 +192,7 @@
             self._offers,
             self._outcome_sender,
             self._command_sender,
+            self.command_log,
             self._stops,
             self._failures,
             self,
@@ -207,7 +211,9 @@
             self._overdue_machines.silence_limits,
             clock,
         )
-        self.follower_reports = FollowerReports(workers, registry, leadership, clock)
+        self.follower_reports = FollowerReports(
+            workers, registry, leadership, self.command_log, clock
+        )
         self._expected_report_us = to_us(_REPORT_JITTER_FACTOR * workers.report_s)
         registry.on_attempt_added.append(self._on_attempt_recorded)
         registry.on_withdrawn.append(self._on_job_withdrawn)
@@ -265,6 +271,7 @@
             return self.follower_reports.answer(report)
         commands = self._report_intake.process(report, is_periodic=True)
         answer = ReportAnswer(self._leadership.term_number(), tuple(commands))
+        self.command_log.report_answered(report, answer.term, answer.commands)
         return 200, msgspec.json.encode(answer)
 
     def fleet_changed(self) -> None:
--- a/mosswalk/fleet/report_evaluation.py
+++ b/mosswalk/fleet/report_evaluation.py
@@ -11,7 +11,7 @@
 from mosswalk.jobs.state import Job, parse_task_name, task_name
 from mosswalk.store.records import Attempt
 from mosswalk.wire.peers import Outcome, OutcomeKind
-from mosswalk.wire.workers import Command, Report
+from mosswalk.wire.workers import Command, Report, TaskReport
 
 # Outcome of an attempt by the cause of its exit; a cause not listed here means refused.
 _OUTCOME_BY_CAUSE: dict[str, OutcomeKind] = {
@@ -32,6 +32,8 @@
 
     commands: list[Command] = field(default_factory=list)
     outcomes: list[Outcome] = field(default_factory=list)
+    # Tasks that the worker reports although no record has them.
+    unrecorded: list[TaskReport] = field(default_factory=list)
     live_tasks: int = 0
 
 
@@ -77,14 +79,10 @@
         key = (*parsed_name, task.attempt)
         listed.add(key)
         attempt = attempts.get(key)
+        if attempt is None:
+            result.unrecorded.append(task)
         if task.phase == "exited":
-            if attempt is not None:
-                kind = _OUTCOME_BY_CAUSE.get(task.cause or "", "refused")
-                result.outcomes.append(Outcome(task.task, task.attempt, machine.name, kind))
-            elif not machine.may_still_start((task.task, task.attempt), term):
-                # Reaped only once the record shows the outcome, and only if no start command is
-                # in flight: the worker would not remember the attempt and would run it again.
-                result.commands.append(Command("reap", task.task, task.attempt))
+            _evaluate_exit(result, machine, task, attempt, term)
             continue
         result.live_tasks += 1
         if attempt is None:
@@ -118,3 +116,16 @@
                 # made this report.
                 result.outcomes.append(Outcome(name, key[2], machine.name, "lost"))
     return result
+
+
+def _evaluate_exit(
+    result: Evaluation, machine: Machine, task: TaskReport, attempt: Attempt | None, term: int
+) -> None:
+    """Add the outcome of a task that has exited, or the command to reap it."""
+    if attempt is not None:
+        kind = _OUTCOME_BY_CAUSE.get(task.cause or "", "refused")
+        result.outcomes.append(Outcome(task.task, task.attempt, machine.name, kind))
+    elif not machine.may_still_start((task.task, task.attempt), term):
+        # Reaped only once the record shows the outcome, and only if no start command is in flight:
+        # the worker would not remember the attempt and would run it again.
+        result.commands.append(Command("reap", task.task, task.attempt))
--- a/mosswalk/fleet/report_intake.py
+++ b/mosswalk/fleet/report_intake.py
@@ -12,6 +12,7 @@
 
 from mosswalk.actors import Clock, to_us
 from mosswalk.config import WorkerLimits
+from mosswalk.fleet.command_log import CommandLog
 from mosswalk.fleet.command_sender import CommandSender
 from mosswalk.fleet.inventory import Inventory, Machine
 from mosswalk.fleet.offers import OfferPlanner
@@ -65,6 +66,7 @@
         offers: OfferPlanner,
         outcome_sender: OutcomeSender,
         command_sender: CommandSender,
+        command_log: CommandLog,
         stops: StopRegistry,
         failures: TaskFailures,
         listener: ReportListener,
@@ -77,6 +79,7 @@
         self._offers = offers
         self._outcome_sender = outcome_sender
         self._command_sender = command_sender
+        self._command_log = command_log
         self._stops = stops
         self._failures = failures
         self._listener = listener
@@ -126,6 +129,7 @@
             # A late report: its contents are outdated.
             return []
         before = self._usability_state(machine)
+        tasks_before, was_known = machine.tasks, machine.has_acknowledged_leader
         if is_periodic:
             machine.check_answer_received(report, now_us, self._lease_us)
         else:
@@ -149,6 +153,11 @@
             may_start=self._leadership.may_start_tasks(),
             is_periodic=is_periodic,
         )
+        for task in evaluation.unrecorded:
+            # A new leader's first report of a machine also lists what ended under the previous one.
+            is_new = (task.task, task.attempt) not in tasks_before
+            if is_new and (was_known or task.phase != "exited"):
+                self._command_log.unrecorded_attempt(machine.name, task)
         # A report of a term before this leader's may be a late copy and proves nothing.
         outcomes = evaluation.outcomes if machine.has_acknowledged_leader else []
         for outcome in outcomes:
@@ -162,8 +171,6 @@
             self._listener.fleet_changed()
         # What is left out follows from the next report again.
         commands = evaluation.commands[:MAX_COMMANDS_PER_MESSAGE]
-        for command in commands:
-            log.debug("command to %s: %s", machine.name, command)
         if is_periodic:
             confirmable = tuple(
                 command for command in commands if next_report_confirms(self._registry, command)
--- a/mosswalk/leadership/actor.py
+++ b/mosswalk/leadership/actor.py
@@ -266,10 +266,11 @@
         self.term_version = version if value is not None else 0
         if self.term is not None:
             log.info(
-                "term %d: leader %s, owners %s",
+                "term %d: leader %s, owners %s, revision %d",
                 self.term.term,
                 self.term.leader,
                 sorted(self.term.owners.items()),
+                version,
             )
         for callback in self.on_term:
             callback()
--- a/mosswalk/metrics.py
+++ b/mosswalk/metrics.py
@@ -70,10 +70,33 @@
             "Peak resident memory of this process",
             float(resource.getrusage(resource.RUSAGE_SELF).ru_maxrss * _KB),
         )
+        yield from self._collect_commands()
         yield from self._collect_detection()
         limits = c.settings.params.machine_limits
         yield Metric("memory_limit_bytes", "The process is killed above this", limits.mem_mb * _MB)
 
+    def _collect_commands(self) -> Iterable[Metric]:
+        command_log = self._controller.manager.command_log
+        for answer, count in sorted(command_log.direct_answers.items()):
+            yield Metric(
+                "direct_commands",
+                "POST /orders requests to workers since the start, by the status of the answer",
+                float(count),
+                {"answer": answer},
+            )
+        for kind, count in sorted(command_log.commands.items()):
+            yield Metric(
+                "commands",
+                "Commands sent to workers since the start, repetitions included",
+                float(count),
+                {"kind": kind},
+            )
+        yield Metric(
+            "unrecorded_attempts",
+            "Attempts since the start that workers reported although no record has them",
+            float(command_log.unrecorded_attempts),
+        )
+
     def _collect_detection(self) -> Iterable[Metric]:
         if self._controller.detector is None:
             return
--- a/tests/test_message_size.py
+++ b/tests/test_message_size.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from mosswalk.fleet.command_log import CommandLog
 from mosswalk.fleet.command_sender import CommandSender
 from mosswalk.fleet.inventory import Inventory, Machine
 from mosswalk.fleet.report_intake import ReportIntake
@@ -55,6 +56,7 @@
             asyncio.ensure_future,
             FakeClock(),
             100,
+            CommandLog(),
         )
         for job, task, number in ATTEMPTS:
             sender.send(machine, Command("run", f"{job}/{task}", number))
@@ -83,6 +85,7 @@
         SimpleNamespace(is_silent=lambda _: False, mark_changed=lambda _: None),
         None,
         None,
+        CommandLog(),
         SimpleNamespace(grace_s=lambda *_: None),
         SimpleNamespace(is_unhealthy=lambda _: False),
         SimpleNamespace(fleet_changed=lambda: None),
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -6,6 +6,7 @@
 from hypothesis import strategies as st
 
 from mosswalk.config.sockets import socket_budget
+from mosswalk.fleet.command_log import CommandLog
 from mosswalk.fleet.command_sender import CommandSender
 from mosswalk.fleet.inventory import Inventory, Machine
 from tests.fakes import FakeClock
@@ -33,6 +34,7 @@
             lambda _: None,
             FakeClock(),
             budget.workers,
+            CommandLog(),
         )
         for count in (300, 600, 900, 1100):
             for i in range(count):
