--- a/tests/fault_injection.py
+++ b/tests/fault_injection.py
@@ -278,6 +278,23 @@
     region.late_report_share = 0.0
 
 
+async def _late_copies(region: Simulation, fault: Fault) -> None:
+    """Copies of answered commands reach their machines again, some long after the fault ends."""
+    region.late_copy_share = 0.6
+    await asyncio.sleep(fault.duration_s)
+    region.late_copy_share = 0.0
+
+
+async def _all_copies(region: Simulation, fault: Fault) -> None:
+    """Again and again, copies of all commands ever carried out reach the machines that are up."""
+    end_at_s = region.now() + fault.duration_s
+    while region.now() < end_at_s:
+        await asyncio.sleep(1.0)
+        for worker in list(region.workers.values()):
+            if worker.name not in region.network.hung_hosts:
+                worker.receive_all_copies()
+
+
 async def _cloud_outage(region: Simulation, fault: Fault) -> None:
     region.cloud_down = True
     await asyncio.sleep(fault.duration_s)
@@ -339,6 +356,7 @@
 
 
 FAULTS: dict[str, Callable[[Simulation, Fault], Coroutine[Any, Any, None]]] = {
+    "all_copies": _all_copies,
     "all_not_reporting": _all_not_reporting,
     "apart": _apart,
     "cancel": _cancel,
@@ -351,6 +369,7 @@
     "destroy_machines": _destroy_machines,
     "freeze": _freeze,
     "hang": _hang,
+    "late_copies": _late_copies,
     "late_reports": _late_reports,
     "late_writes": _late_writes,
     "leader_without_workers": _leader_without_workers,
--- a/tests/simulated_services.py
+++ b/tests/simulated_services.py
@@ -201,6 +201,8 @@
         self.faulty = False
         self.spot_notice_s: float | None = None
         self.kept: list[bytes] = []
+        # The messages to /orders that it has carried out.
+        self.executed_messages: list[dict] = []
         self._changed = asyncio.Event()
         self.rented_at_s = region.now()
 
@@ -285,11 +287,35 @@
         if self.receives_nothing or not self.up:
             await asyncio.sleep(60.0)
         message = json.loads(body)
-        if message["epoch"] < self.term or message["tenure"] != self.session:
+        if not self._accepts(message):
             return 409, self.encode_report()
+        self.executed_messages.append(message)
+        self._accept_direct_commands(message)
+        self.region.maybe_repeat_commands(self, message)
+        return 200, self.encode_report()
+
+    def _accept_direct_commands(self, message: dict) -> None:
         self.observe_term(message["epoch"])
         self.execute_commands(message["orders"])
-        return 200, self.encode_report()
+
+    def receive_copy(self, message: dict) -> None:
+        """A copy of /orders that were carried out before arrives; nobody waits for the answer."""
+        if self.destroyed or self.receives_nothing or not self._accepts(message):
+            return
+        known = set(self.tasks)
+        self._accept_direct_commands(message)
+        self.region.counts["started_by_copies"] += len(self.tasks.keys() - known)
+
+    def receive_all_copies(self) -> None:
+        """Copies of all that was ever carried out arrive, in any order."""
+        messages = list(self.executed_messages)
+        self.region.rng.shuffle(messages)
+        for message in messages:
+            self.region.counts["copies"] += 1
+            self.receive_copy(message)
+
+    def _accepts(self, message: dict) -> bool:
+        return message["epoch"] >= self.term and message["tenure"] == self.session
 
     def advance(self) -> None:
         """Advance leases, image fetches and tasks to the current time, unless the machine hangs."""
--- a/tests/simulation.py
+++ b/tests/simulation.py
@@ -73,6 +73,8 @@
         self.cloud_down = False
         # The share of reports of which a second copy arrives late.
         self.late_report_share = 0.0
+        # The share of answered /orders of which one or two copies arrive late.
+        self.late_copy_share = 0.0
         self.rented_count = 0
         # What users have submitted and were told, and what runs: the rules are checked on these.
         self.specs: dict[str, JobSpec] = {}
@@ -239,6 +241,17 @@
         if name in self.controllers:
             self.controllers[name][0].manager.answer_report(msgspec.json.decode(body, type=Report))
 
+    def maybe_repeat_commands(self, worker: Worker, message: dict) -> None:
+        if self.late_copy_share > 0 and self.rng.random() < self.late_copy_share:
+            for _ in range(self.rng.choice([1, 1, 2])):
+                self.counts["copies"] += 1
+                self.network.spawn(self._repeat_commands(worker, message))
+
+    async def _repeat_commands(self, worker: Worker, message: dict) -> None:
+        await asyncio.sleep(self.rng.uniform(0.3, 32.0))
+        await self.network.wait_while_hung(worker.name)
+        worker.receive_copy(message)
+
     # The controllers.
 
     def start(self) -> None:
