fleet: a reap carries a token above that of every start sent before

What callers saw: a task ran on two machines at once, and cancelled tasks ran again, after a copy of a start that had been carried out and answered reached its machine once more.

Cause: a right that never lapsed. A worker forgets an attempt with its reap, and PROTOCOL says that a repeated start then runs it once more. The only thing that refuses the copy is its token, which stayed valid for the whole term. unanswered_starts looked after starts without an answer; an answered one was taken for spent.

Change: from version 3 on, a term stands for a range of 2^24 tokens, its number in the bits above them. Before an answer with a reap, the leader raises that machine's token by one if a start was sent with the current one, so the worker forgets the attempt and refuses all older copies in the same message. Reaps wait while a request is in flight, which the raise would outdate. A controller that gets the lead back in the same term goes on above all tokens it used. Followers that renew leases answer with the token that the worker has seen. Report.term is now what the token tells; the wire is the same.

Why it works: every copy has the token of the first sending, and every worker that carried out a reap has seen a higher one. No time, no state write, no message is added; a machine's cost is two integers.

Tests changed: test_versions waits for CURRENT_VERSION where it named GANG_VERSION, since the upgrade now ends at version 3; the others only pass the new arguments or set the token in place of the term.

--- a/mosswalk/fleet/command_log.py
+++ b/mosswalk/fleet/command_log.py
@@ -44,7 +44,7 @@
             log.info(
                 "/orders to %s, token %d, session %d: %s",
                 machine,
-                message.term,
+                message.token,
                 message.session,
                 describe(message.commands),
             )
@@ -58,7 +58,7 @@
             log.info(
                 "/orders to %s, token %d, session %d: answered %d%s",
                 machine,
-                message.term,
+                message.token,
                 message.session,
                 status,
                 _describe_state(report),
@@ -71,7 +71,7 @@
             log.info(
                 "/orders to %s, token %d, session %d: no answer: %r",
                 machine,
-                message.term,
+                message.token,
                 message.session,
                 error,
             )
@@ -86,7 +86,7 @@
                 report.sequence,
                 report.machine,
                 token,
-                report.term,
+                report.token,
                 describe(commands),
             )
 
@@ -109,4 +109,4 @@
     """The worker's state in its answer, as far as it decides whether commands are accepted."""
     if report is None:
         return ""
-    return f", report {report.session}.{report.sequence}, token {report.term}"
+    return f", report {report.session}.{report.sequence}, token {report.token}"
--- a/mosswalk/fleet/command_sender.py
+++ b/mosswalk/fleet/command_sender.py
@@ -14,6 +14,7 @@
 from mosswalk.fleet.command_log import CommandLog
 from mosswalk.fleet.inventory import Inventory, Machine
 from mosswalk.fleet.messages import DirectCommandsDone
+from mosswalk.fleet.worker_tokens import WorkerTokens
 from mosswalk.jobs.registry import AttemptKey, JobRegistry
 from mosswalk.jobs.state import parse_task_name
 from mosswalk.leadership.actor import Leadership
@@ -45,6 +46,7 @@
         inventory: Inventory,
         registry: JobRegistry,
         leadership: Leadership,
+        tokens: WorkerTokens,
         http_session: aiohttp.ClientSession,
         is_to_stop: Callable[[Machine, AttemptKey], bool],
         on_done: Callable[[DirectCommandsDone], None],
@@ -56,6 +58,7 @@
         self._inventory = inventory
         self._registry = registry
         self._leadership = leadership
+        self._tokens = tokens
         self._http_session = http_session
         self._is_to_stop = is_to_stop
         self._on_done = on_done
@@ -79,6 +82,11 @@
         self._pending.pop(name, None)
         self._keep_alive.discard(name)
 
+    def is_in_flight(self, name: str) -> bool:
+        """Whether a request to a machine is waiting for its answer."""
+        pending = self._pending.get(name)
+        return pending is not None and pending.in_flight
+
     def request_ended(self, name: str) -> None:
         """Note that the request in flight has ended, and send what is pending."""
         pending = self._pending.get(name)
@@ -164,11 +172,13 @@
             return
         pending.in_flight = True
         starts = tuple((c.task, c.attempt) for c in to_send if c.op == "run")
-        term = self._leadership.term_number()
+        token = self._tokens.current(machine)
+        if starts:
+            machine.started_with_token = token
         for start in starts:
             # Until it is answered, the start may be executed at any later time.
-            machine.unanswered_starts[start] = (term, machine.session)
-        message = DirectCommands(term, machine.session, tuple(to_send))
+            machine.unanswered_starts[start] = (token, machine.session)
+        message = DirectCommands(token, machine.session, tuple(to_send))
         self._command_log.direct_sent(name, message)
         self._spawn(self._post(machine.name, machine.address, message, starts))
 
@@ -199,4 +209,6 @@
         except msgspec.DecodeError as error:
             self._command_log.direct_unanswered(name, message, error)
             log.error("worker %s: discarding malformed answer to /orders: %s", name, error)
-        self._on_done(DirectCommandsDone(name, message.term, message.session, starts, sent, report))
+        self._on_done(
+            DirectCommandsDone(name, message.token, message.session, starts, sent, report)
+        )
--- a/mosswalk/fleet/follower_reports.py
+++ b/mosswalk/fleet/follower_reports.py
@@ -61,10 +61,10 @@
         """Return status and body of the answer to a report."""
         if self._may_renew_lease(report):
             commands = kill_commands_for_closed_jobs(report, self._registry.jobs)
-            answer = ReportAnswer(
-                self._leadership.term_number(), tuple(commands[:MAX_COMMANDS_PER_MESSAGE])
-            )
-            self._command_log.report_answered(report, answer.term, answer.commands)
+            # The leader of this term may have shown the worker a higher token than the first one.
+            token = max(self._leadership.first_token(), report.token)
+            answer = ReportAnswer(token, tuple(commands[:MAX_COMMANDS_PER_MESSAGE]))
+            self._command_log.report_answered(report, answer.token, answer.commands)
             return 200, msgspec.json.encode(answer)
         # The leader asks for the count of the first; the second shows this controller whether a
         # worker comes back after it was sent away.
--- a/mosswalk/fleet/inventory.py
+++ b/mosswalk/fleet/inventory.py
@@ -38,15 +38,18 @@
     # Whether it is known only because a record names it.
     known_from_record_only: bool = False
     last_seen_at_us: int = 0
-    # Session and sequence number of its newest report, and the highest term it has reported.
+    # Session and sequence number of its newest report, and the highest token it has reported.
     session: int = 0
     sequence: int = -1
-    term: int = 0
+    token: int = 0
+    # The token that was set for it alone, if any, and the highest one with which a start was sent.
+    raised_token: int = 0
+    started_with_token: int = 0
     # Whether it has reported in a term of this leader. A report of an earlier term may be a late
     # copy, even from a machine long gone, and shows nothing of the present state.
     has_acknowledged_leader: bool = False
     # The last answer to one of its reports; its next report shows whether the worker received it.
-    last_answer_term: int = 0
+    last_answer_token: int = 0
     last_answer_commands: tuple[Command, ...] = ()
     last_answer_at_us: int = 0
     not_receiving_since_us: int | None = None
@@ -70,7 +73,7 @@
     used_cpus: int = 0
     used_memory: int = 0
     has_replica: bool = False
-    # Starts sent to /orders that were not answered, with the term and session of the request.
+    # Starts sent to /orders that were not answered, with the token and session of the request.
     unanswered_starts: dict[TaskKey, tuple[int, int]] = field(default_factory=dict)
 
     def utilization(self, machine_type: MachineType) -> float:
@@ -96,10 +99,10 @@
         self.exited_tasks = frozenset(key for key, task in tasks.items() if task.phase == "exited")
         return True
 
-    def record_answer(self, term: int, commands: tuple[Command, ...], now_us: int) -> None:
+    def record_answer(self, token: int, commands: tuple[Command, ...], now_us: int) -> None:
         """Record the answer that is sent to a report."""
-        self.last_answer_term, self.last_answer_commands, self.last_answer_at_us = (
-            term,
+        self.last_answer_token, self.last_answer_commands, self.last_answer_at_us = (
+            token,
             commands,
             now_us,
         )
@@ -122,7 +125,7 @@
             # was answered less than 60 % of a lease ago. So it may not receive answers; it may also
             # have been restarted.
             self.needs_direct_answer = True
-        received = report.term >= self.last_answer_term and (
+        received = report.token >= self.last_answer_token and (
             is_new_session
             or all(report_shows_execution(command, report) for command in self.last_answer_commands)
         )
@@ -143,10 +146,17 @@
         while len(self.cached_images) > 1 and sum(self.cached_images.values()) > cache_gb:
             self.cached_images.popitem(last=False)
 
-    def may_still_start(self, key: TaskKey, term: int) -> bool:
-        """Whether the worker may still execute an unanswered start."""
+    def may_still_start(self, key: TaskKey, lowest_token: int) -> bool:
+        """Whether the worker may still execute an unanswered start.
+
+        Starts with a token below ``lowest_token``, the lowest of the leader, don't count.
+        """
         sent = self.unanswered_starts.get(key)
-        return sent is not None and sent[0] >= max(term, self.term) and sent[1] == self.session
+        return (
+            sent is not None
+            and sent[0] >= max(lowest_token, self.token)
+            and sent[1] == self.session
+        )
 
 
 def report_shows_execution(command: Command, report: Report) -> bool:
--- a/mosswalk/fleet/manager.py
+++ b/mosswalk/fleet/manager.py
@@ -52,6 +52,7 @@
 from mosswalk.fleet.stray_machines import StrayMachines
 from mosswalk.fleet.task_failures import TaskFailures
 from mosswalk.fleet.withdrawing import WithdrawnTasks
+from mosswalk.fleet.worker_tokens import WorkerTokens
 from mosswalk.jobs.registry import JobRegistry
 from mosswalk.jobs.state import Job, task_name
 from mosswalk.leadership.actor import Leadership
@@ -172,10 +173,12 @@
             clock,
         )
         self.command_log = CommandLog()
+        self.tokens = WorkerTokens(leadership)
         self._command_sender = CommandSender(
             self.inventory,
             registry,
             leadership,
+            self.tokens,
             http_session,
             lambda machine, key: self._stops.grace_s(machine, key) is not None,
             self.send,
@@ -189,6 +192,7 @@
             self.inventory,
             registry,
             leadership,
+            self.tokens,
             self._offers,
             self._outcome_sender,
             self._command_sender,
@@ -203,11 +207,11 @@
             self.inventory, leadership, self._command_sender, clock
         )
         self._machine_list = MachineListIntake(self.inventory, self._offers, self, clock)
-        self._stale_starts = StaleStarts(self.inventory, registry, leadership, clock)
+        self._stale_starts = StaleStarts(self.inventory, registry, leadership, self.tokens, clock)
         self._withdrawn_tasks = WithdrawnTasks(
             self.inventory,
             registry,
-            leadership,
+            self.tokens,
             self._overdue_machines.silence_limits,
             clock,
         )
@@ -270,8 +274,8 @@
             # A leader that may not renew the leases of workers answers like a follower.
             return self.follower_reports.answer(report)
         commands = self._report_intake.process(report, is_periodic=True)
-        answer = ReportAnswer(self._leadership.term_number(), tuple(commands))
-        self.command_log.report_answered(report, answer.term, answer.commands)
+        answer = ReportAnswer(self._report_intake.answer_token(report), tuple(commands))
+        self.command_log.report_answered(report, answer.token, answer.commands)
         return 200, msgspec.json.encode(answer)
 
     def fleet_changed(self) -> None:
@@ -285,12 +289,16 @@
         """Set up the leader's state when this controller begins to lead; clear it when it stops."""
         leads = self._leadership.leads()
         if leads and not self._leading:
-            log.info("leading in term %d", self._leadership.term_number())
+            log.info(
+                "leading in term %d, tokens from %d",
+                self._leadership.term_number(),
+                self.tokens.lowest(),
+            )
             self._leading = True
             self._leading_since_us = self._last_tick_at_us = self._answering_since_us = (
                 self._clock.now_us()
             )
-            self._report_intake.start_leading(self._leadership.term_number())
+            self._report_intake.start_leading()
             # In the first term no controller has led before, so nothing has been rented: no need to
             # wait until the machine list shows earlier rentals.
             self._is_first_leader = self._leadership.term_number() <= 1
@@ -312,6 +320,7 @@
             self._outcome_sender.reset()
             self._stops.reset()
             self._command_sender.reset()
+            self.tokens.reset()
             self._stale_starts.reset()
             self._overdue_machines.reset()
             if self.cloud is not None:
@@ -374,7 +383,7 @@
             return
         if not message.sent or message.report is not None:
             for start in message.starts:
-                if machine.unanswered_starts.get(start) == (message.term, message.session):
+                if machine.unanswered_starts.get(start) == (message.token, message.session):
                     del machine.unanswered_starts[start]
         if message.report is not None:
             self._leadership.observe_term(message.report.term)
--- a/mosswalk/fleet/messages.py
+++ b/mosswalk/fleet/messages.py
@@ -17,7 +17,7 @@
     """
 
     machine: str
-    term: int
+    token: int
     session: int
     starts: tuple[tuple[str, int], ...]
     sent: bool
--- a/mosswalk/fleet/report_evaluation.py
+++ b/mosswalk/fleet/report_evaluation.py
@@ -55,7 +55,7 @@
     machine: Machine,
     report: Report,
     attempts: Mapping[AttemptKey, Attempt],
-    term: int,
+    lowest_token: int,
     stop_grace_s: Callable[[str, int, int], float | None],
     is_startable: Callable[[str], bool],
     *,
@@ -64,6 +64,8 @@
 ) -> Evaluation:
     """Compare a report with the records.
 
+    ``lowest_token`` is the lowest that this leader uses: a worker that reports it, or a higher one,
+    refuses the commands of earlier leaders.
     ``stop_grace_s`` returns the grace period of an attempt that is to be stopped, or None if it is
     to run. ``is_startable`` tells whether the attempts of a job may be started, which is not so for
     a gang that is only partly recorded. ``is_periodic`` is false for the answer to /orders: it may
@@ -82,7 +84,7 @@
         if attempt is None:
             result.unrecorded.append(task)
         if task.phase == "exited":
-            _evaluate_exit(result, machine, task, attempt, term)
+            _evaluate_exit(result, machine, task, attempt, lowest_token)
             continue
         result.live_tasks += 1
         if attempt is None:
@@ -108,24 +110,28 @@
                     result.commands.append(Command("run", name, key[2]))
             elif (
                 is_periodic
-                and report.term >= term
-                and not machine.may_still_start((name, key[2]), term)
+                and report.token >= lowest_token
+                and not machine.may_still_start((name, key[2]), lowest_token)
             ):
-                # The task does not run and won't start. The worker rejects commands of earlier
-                # terms, and those of this term came in answers that it executed or lost before it
-                # made this report.
+                # The task does not run and won't start. The worker refuses commands of earlier
+                # leaders, and this leader's came in answers that it executed or lost before it made
+                # this report, or in requests that it answered.
                 result.outcomes.append(Outcome(name, key[2], machine.name, "lost"))
     return result
 
 
 def _evaluate_exit(
-    result: Evaluation, machine: Machine, task: TaskReport, attempt: Attempt | None, term: int
+    result: Evaluation,
+    machine: Machine,
+    task: TaskReport,
+    attempt: Attempt | None,
+    lowest_token: int,
 ) -> None:
     """Add the outcome of a task that has exited, or the command to reap it."""
     if attempt is not None:
         kind = _OUTCOME_BY_CAUSE.get(task.cause or "", "refused")
         result.outcomes.append(Outcome(task.task, task.attempt, machine.name, kind))
-    elif not machine.may_still_start((task.task, task.attempt), term):
-        # Reaped only once the record shows the outcome, and only if no start command is in flight:
+    elif not machine.may_still_start((task.task, task.attempt), lowest_token):
+        # Reaped only once the record shows the outcome, and only if no start command is unanswered:
         # the worker would not remember the attempt and would run it again.
         result.commands.append(Command("reap", task.task, task.attempt))
--- a/mosswalk/fleet/report_intake.py
+++ b/mosswalk/fleet/report_intake.py
@@ -20,6 +20,7 @@
 from mosswalk.fleet.report_evaluation import evaluate_report
 from mosswalk.fleet.stopping import StopRegistry
 from mosswalk.fleet.task_failures import TaskFailures
+from mosswalk.fleet.worker_tokens import WorkerTokens
 from mosswalk.jobs.registry import JobRegistry
 from mosswalk.jobs.state import parse_task_name
 from mosswalk.leadership.actor import Leadership
@@ -29,6 +30,9 @@
 
 # In these phases the image of a task is on its machine.
 _PHASES_WITH_IMAGE = ("running", "gathering")
+# More attempts than this are reaped although a request is in flight, which may then be refused:
+# they would make the worker's reports grow.
+_MAX_WAITING_REAPS = 64
 
 
 class ReportListener(Protocol):
@@ -63,6 +67,7 @@
         inventory: Inventory,
         registry: JobRegistry,
         leadership: Leadership,
+        tokens: WorkerTokens,
         offers: OfferPlanner,
         outcome_sender: OutcomeSender,
         command_sender: CommandSender,
@@ -76,6 +81,7 @@
         self._inventory = inventory
         self._registry = registry
         self._leadership = leadership
+        self._tokens = tokens
         self._offers = offers
         self._outcome_sender = outcome_sender
         self._command_sender = command_sender
@@ -84,15 +90,15 @@
         self._failures = failures
         self._listener = listener
         self._clock = clock
-        # The term in which this controller began to lead. Machines that report it or a later one
-        # have received an answer of this leader.
-        self._first_term = 0
+        # The lowest token when this controller began to lead. Machines that report it or a higher
+        # one have received a message of this leader.
+        self._first_token = 0
         # Since when workers may be reconnecting to this leader.
         self._reconnecting_since_us = 0
 
-    def start_leading(self, first_term: int) -> None:
-        """Start to process reports for a leadership that begins with this term."""
-        self._first_term = first_term
+    def start_leading(self) -> None:
+        """Start to process reports for a leadership that begins now."""
+        self._first_token = self._tokens.lowest()
         self.restart_after_pause()
 
     def restart_after_pause(self) -> None:
@@ -103,16 +109,16 @@
         self._reconnecting_since_us = self._clock.now_us()
 
     def process(self, report: Report, *, is_periodic: bool) -> list[Command]:
-        """Process a report, or the answer to /orders; return the commands for the worker.
+        """Process a report, or the answer to /orders; return the commands to answer a report with.
 
-        They are for the answer to a report; those returned for an answer to /orders are not sent.
+        They must be sent with ``answer_token``.
         """
         now_us = self._clock.now_us()
         if self._inventory.is_gone(report.machine):
             return []
         machine = self._inventory.machines.get(report.machine)
         if machine is None:
-            if report.term < self._first_term:
+            if report.token < self._first_token:
                 # Perhaps a late copy from a machine long gone. A machine that still runs learns the
                 # term from this answer and reports again within half a second.
                 return []
@@ -136,8 +142,8 @@
             machine.record_direct_answer()
         machine.address = report.address
         machine.session, machine.sequence = report.session, report.sequence
-        machine.term = max(machine.term, report.term)
-        if report.term >= self._first_term:
+        machine.token = max(machine.token, report.token)
+        if report.token >= self._first_token:
             self._record_contact(machine, report, is_periodic=is_periodic)
         elif machine.phase != "up" and is_periodic and machine.probed_at_us is None:
             # Probably just booted: the probe shows it the term, so that it can be used at once.
@@ -147,7 +153,7 @@
             machine,
             report,
             self._registry.attempts_on(machine.name),
-            self._leadership.term_number(),
+            self._tokens.lowest(),
             lambda job_id, index, number: self._stops.grace_s(machine, (job_id, index, number)),
             self._is_startable,
             may_start=self._leadership.may_start_tasks(),
@@ -169,15 +175,33 @@
             # do.
             self._offers.mark_changed(machine.name)
             self._listener.fleet_changed()
-        # What is left out follows from the next report again.
-        commands = evaluation.commands[:MAX_COMMANDS_PER_MESSAGE]
-        if is_periodic:
-            confirmable = tuple(
-                command for command in commands if next_report_confirms(self._registry, command)
-            )
-            machine.record_answer(self._leadership.term_number(), confirmable, now_us)
+        if not is_periodic:
+            return []
+        commands = self._answerable(machine, evaluation.commands)
+        confirmable = tuple(
+            command for command in commands if next_report_confirms(self._registry, command)
+        )
+        machine.record_answer(self._tokens.current(machine), confirmable, now_us)
         return commands
 
+    def answer_token(self, report: Report) -> int:
+        """The token for the answer to a report that has been processed."""
+        return self._tokens.current(self._inventory.machines.get(report.machine))
+
+    def _answerable(self, machine: Machine, commands: list[Command]) -> list[Command]:
+        """The commands to send now; the others follow from the next report again.
+
+        An attempt is reaped only with a token that outdates its start. That would outdate a request
+        in flight as well, so reaps wait for its answer, unless too many attempts are to be reaped.
+        """
+        reaps = sum(1 for command in commands if command.op == "reap")
+        if reaps and (
+            (reaps <= _MAX_WAITING_REAPS and self._command_sender.is_in_flight(machine.name))
+            or not self._tokens.outdate_starts(machine)
+        ):
+            commands = [command for command in commands if command.op != "reap"]
+        return commands[:MAX_COMMANDS_PER_MESSAGE]
+
     def _is_startable(self, job_id: str) -> bool:
         job = self._registry.jobs.get(job_id)
         return job is not None and job.startable
--- a/mosswalk/fleet/stale_starts.py
+++ b/mosswalk/fleet/stale_starts.py
@@ -9,6 +9,7 @@
 
 from mosswalk.actors import SECOND_US, Clock
 from mosswalk.fleet.inventory import Inventory
+from mosswalk.fleet.worker_tokens import WorkerTokens
 from mosswalk.jobs.registry import AttemptKey, JobRegistry
 from mosswalk.jobs.state import task_name
 from mosswalk.leadership.actor import Leadership
@@ -24,11 +25,17 @@
     """Tracks unanswered /orders requests that could start tasks which must not run any more."""
 
     def __init__(
-        self, inventory: Inventory, registry: JobRegistry, leadership: Leadership, clock: Clock
+        self,
+        inventory: Inventory,
+        registry: JobRegistry,
+        leadership: Leadership,
+        tokens: WorkerTokens,
+        clock: Clock,
     ) -> None:
         self._inventory = inventory
         self._registry = registry
         self._leadership = leadership
+        self._tokens = tokens
         self._clock = clock
         self._stale_since_us: dict[AttemptKey, int] = {}
 
@@ -39,7 +46,7 @@
     def check(self) -> None:
         """Find stale starts, and request a new term if one stays unanswered for too long."""
         now_us = self._clock.now_us()
-        term = self._leadership.term_number()
+        lowest_token = self._tokens.lowest()
         stale: dict[AttemptKey, int] = {}
         for machine in self._inventory.machines.values():
             if not machine.unanswered_starts:
@@ -51,14 +58,14 @@
                 must_not_run = job is not None and (not job.open or job.gang_ending)
                 if (
                     must_not_run
-                    and machine.may_still_start(start, term)
+                    and machine.may_still_start(start, lowest_token)
                     and start not in machine.tasks
                 ):
                     stale[key] = self._stale_since_us.get(key, now_us)
             machine.unanswered_starts = {
                 k: v
                 for k, v in machine.unanswered_starts.items()
-                if v[0] >= term and v[1] == machine.session
+                if v[0] >= max(lowest_token, machine.token) and v[1] == machine.session
             }
         self._stale_since_us = stale
         if any(
--- a/mosswalk/fleet/withdrawing.py
+++ b/mosswalk/fleet/withdrawing.py
@@ -7,9 +7,9 @@
 from mosswalk.actors import SECOND_US, Clock
 from mosswalk.fleet.inventory import Inventory, Machine
 from mosswalk.fleet.silence import SilenceLimits
+from mosswalk.fleet.worker_tokens import WorkerTokens
 from mosswalk.jobs.registry import AttemptKey, JobRegistry
 from mosswalk.jobs.state import task_name
-from mosswalk.leadership.actor import Leadership
 
 # How long machines may take to report to a new leader whether withdrawn tasks still run.
 _REPORT_WAIT_US = 4 * SECOND_US
@@ -22,13 +22,13 @@
         self,
         inventory: Inventory,
         registry: JobRegistry,
-        leadership: Leadership,
+        tokens: WorkerTokens,
         silence_limits: SilenceLimits,
         clock: Clock,
     ) -> None:
         self._inventory = inventory
         self._registry = registry
-        self._leadership = leadership
+        self._tokens = tokens
         self._silence_limits = silence_limits
         self._clock = clock
 
@@ -68,10 +68,14 @@
         reported = machine.tasks.get(start)
         if reported is not None:
             return reported.phase == "exited"
-        term = self._leadership.term_number()
+        lowest_token = self._tokens.lowest()
         is_reporting = (
             machine.has_acknowledged_leader
             and self._clock.now_us() - machine.last_seen_at_us
             < self._silence_limits.silent_after_us
         )
-        return is_reporting and machine.term >= term and not machine.may_still_start(start, term)
+        return (
+            is_reporting
+            and machine.token >= lowest_token
+            and not machine.may_still_start(start, lowest_token)
+        )
--- a/mosswalk/leadership/actor.py
+++ b/mosswalk/leadership/actor.py
@@ -32,6 +32,7 @@
 from mosswalk.store.mirror import Mirror
 from mosswalk.store.records import Presence, TermRecord, Verdict
 from mosswalk.wire import state as wire
+from mosswalk.wire.tokens import first_token_of_range
 
 log = logging.getLogger(__name__)
 
@@ -214,6 +215,15 @@
         """The number of the current term, or 0 if there is none yet."""
         return self.term.term if self.term is not None else 0
 
+    def has_token_range(self) -> bool:
+        """Whether the current term stands for a range of tokens; once true, this stays true."""
+        return self.term is not None and self.term.version >= records.TOKEN_RANGE_VERSION
+
+    def first_token(self) -> int:
+        """The lowest token of the current term, or 0 if there is no term yet."""
+        number = self.term_number()
+        return first_token_of_range(number) if self.has_token_range() else number
+
     def owns(self, team: str) -> bool:
         """Whether this run of this controller is the owner of a team.
 
--- a/mosswalk/metrics.py
+++ b/mosswalk/metrics.py
@@ -37,7 +37,11 @@
         yield Metric("leads", "1 if this controller is the leader", float(c.leadership.leads()))
         yield Metric("term", "The current term", float(c.leadership.term_number()))
         version = c.leadership.term.version if c.leadership.term is not None else 0
-        yield Metric("version", "Version all controllers support; gangs need 2", float(version))
+        yield Metric(
+            "version",
+            "Version all controllers support; gangs need 2, token ranges 3",
+            float(version),
+        )
         yield Metric("jobs_open", "Jobs that have not ended", float(len(c.registry.jobs)))
         yield Metric(
             "attempts_live",
@@ -91,6 +95,11 @@
                 float(count),
                 {"kind": kind},
             )
+        yield Metric(
+            "tokens_raised",
+            "How often the token of a single machine was raised since the start",
+            float(self._controller.manager.tokens.raised),
+        )
         yield Metric(
             "unrecorded_attempts",
             "Attempts since the start that workers reported although no record has them",
--- a/mosswalk/store/records.py
+++ b/mosswalk/store/records.py
@@ -23,9 +23,11 @@
 encode = msgspec.json.encode
 
 # Versions of the controller: the first one supports neither gangs nor jobs with a changed layout.
+# The second one takes the token that a worker reports for the number of a term.
 FIRST_VERSION = 1
 GANG_VERSION = 2
-CURRENT_VERSION = GANG_VERSION
+TOKEN_RANGE_VERSION = 3
+CURRENT_VERSION = TOKEN_RANGE_VERSION
 
 MIRROR_PREFIX = "m/"
 TERM_KEY = "m/term"
--- a/mosswalk/wire/workers.py
+++ b/mosswalk/wire/workers.py
@@ -6,6 +6,8 @@
 
 from msgspec import Struct, field
 
+from mosswalk.wire.tokens import term_of_token
+
 # A body of /orders and a line of an answer to a report hold 64 KiB, and a command takes up to 110
 # bytes.
 MAX_COMMANDS_PER_MESSAGE = 512
@@ -35,11 +37,17 @@
     zone: str = field(name="yard")
     session: int = field(name="tenure")
     sequence: int = field(name="tick")
-    term: int = field(name="epoch")
+    # The highest token that the worker has seen.
+    token: int = field(name="epoch")
     spot: bool = field(name="reclaimable", default=False)
     spot_notice_s: float | None = field(name="warning_s", default=None)
     tasks: tuple[TaskReport, ...] = field(name="pieces", default=())
 
+    @property
+    def term(self) -> int:
+        """The term of the token."""
+        return term_of_token(self.token)
+
 
 class Command(Struct, frozen=True, omit_defaults=True, gc=False):
     """A command to a worker about one task attempt."""
@@ -53,14 +61,14 @@
 class ReportAnswer(Struct, frozen=True):
     """The 200 response to a report."""
 
-    term: int = field(name="epoch")
+    token: int = field(name="epoch")
     commands: tuple[Command, ...] = field(name="orders")
 
 
 class DirectCommands(Struct, frozen=True):
     """The body of POST /orders, which sends commands to a worker between its reports."""
 
-    term: int = field(name="epoch")
+    token: int = field(name="epoch")
     session: int = field(name="tenure")
     commands: tuple[Command, ...] = field(name="orders")
 
--- a/tests/test_gangs.py
+++ b/tests/test_gangs.py
@@ -14,6 +14,7 @@
 from mosswalk.fleet.report_intake import next_report_confirms
 from mosswalk.fleet.stale_starts import StaleStarts
 from mosswalk.fleet.stopping import StopRegistry
+from mosswalk.fleet.worker_tokens import WorkerTokens
 from mosswalk.jobs.admission import rejection_reason
 from mosswalk.jobs.layout import split_records
 from mosswalk.jobs.registry import JobRegistry
@@ -408,11 +409,11 @@
     mirror.commit(draft.to_change({}))
     clock, requested = FakeClock(), []
     leadership = SimpleNamespace(
-        term_number=lambda: 1, request_new_term=lambda: requested.append(True)
+        first_token=lambda: 1, request_new_term=lambda: requested.append(True)
     )
-    stale_starts = StaleStarts(inventory, registry, leadership, clock)
+    stale_starts = StaleStarts(inventory, registry, leadership, WorkerTokens(leadership), clock)
     inventory.machines["vm-0000"].session = 1
-    # Attempt 1 of the task, with the term and the worker's session that its start was sent in.
+    # Attempt 1 of the task, with the token and the worker's session that its start was sent in.
     inventory.machines["vm-0000"].unanswered_starts = {("j-000001/0", 1): (1, 1)}
     for ending in (False, True):
         if ending:
--- a/tests/test_message_size.py
+++ b/tests/test_message_size.py
@@ -9,6 +9,7 @@
 from mosswalk.fleet.command_sender import CommandSender
 from mosswalk.fleet.inventory import Inventory, Machine
 from mosswalk.fleet.report_intake import ReportIntake
+from mosswalk.fleet.worker_tokens import WorkerTokens
 from mosswalk.store.records import Attempt
 from mosswalk.wire.workers import Command, DirectCommands, Report, ReportAnswer
 from tests.fakes import FakeClock
@@ -22,7 +23,10 @@
     (JOB, 90_000 + i, NUMBER): Attempt(90_000 + i, NUMBER, "vm-1", 1, 7) for i in range(TASKS)
 }
 LEADERSHIP = SimpleNamespace(
-    may_renew_worker_leases=lambda: True, may_start_tasks=lambda: True, term_number=lambda: 7
+    may_renew_worker_leases=lambda: True,
+    may_start_tasks=lambda: True,
+    first_token=lambda: 7,
+    has_token_range=lambda: False,
 )
 
 
@@ -50,6 +54,7 @@
             inventory,
             registry,
             LEADERSHIP,
+            WorkerTokens(LEADERSHIP),
             None,
             lambda *_: False,
             lambda _: None,
@@ -82,6 +87,7 @@
             attempts_on=lambda _: ATTEMPTS, jobs={JOB: SimpleNamespace(startable=True)}
         ),
         LEADERSHIP,
+        WorkerTokens(LEADERSHIP),
         SimpleNamespace(is_silent=lambda _: False, mark_changed=lambda _: None),
         None,
         None,
--- a/tests/test_reachability.py
+++ b/tests/test_reachability.py
@@ -50,7 +50,7 @@
 def test_lease_expiry_soon_after_answer_is_cleared_only_by_direct_answer(
     silence_s, answers_directly
 ):
-    machine = make_machine(last_answer_at_us=10 * SECOND_US, last_answer_term=5)
+    machine = make_machine(last_answer_at_us=10 * SECOND_US, last_answer_token=5)
     now_us = (10 + silence_s) * SECOND_US
     machine.check_answer_received(make_report(1, session=2), now_us, LEASE_US)
     machine.session = 2
--- a/tests/test_report_evaluation.py
+++ b/tests/test_report_evaluation.py
@@ -17,7 +17,7 @@
 
 def make_machine():
     machine = Machine("vm-1", "small", "a", False, "up", 0, 0)
-    machine.session, machine.term = 2, 7
+    machine.session, machine.token = 2, 7
     return machine
 
 
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -51,6 +51,12 @@
     def term_number(self):
         return 3
 
+    def first_token(self):
+        return 3
+
+    def has_token_range(self):
+        return False
+
     def observe_term(self, term):
         assert term <= 3
 
@@ -74,7 +80,8 @@
     registry, owner = JobRegistry(mirror), SimpleNamespace(receive_outcomes=lambda message: None)
     leadership = PermanentLeadership()
     manager = FleetManager(settings, mirror, registry, None, leadership, owner, None, None, clock)
-    manager._leading, manager._report_intake._first_term = True, 3
+    manager._leading = True
+    manager._report_intake.start_leading()
     manager._plan_scheduled = False
     manager.inventory.types = {"small": machine_type()}
     for i in range(FLEET_SIZE):
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -29,6 +29,7 @@
             None,
             None,
             None,
+            None,
             lambda *_: False,
             lambda _: None,
             lambda _: None,
--- a/tests/test_versions.py
+++ b/tests/test_versions.py
@@ -162,8 +162,8 @@
             status, _ = await region.send_user_request("POST", "/api/jobs", gang, name)
             assert status == 503
         region.start_controller(region.controller_names[2])
-        await region.wait_until(lambda: term_version(region) == GANG_VERSION, 30.0)
-        assert term_version(region) == GANG_VERSION
+        await region.wait_until(lambda: term_version(region) == CURRENT_VERSION, 30.0)
+        assert term_version(region) == CURRENT_VERSION
         await asyncio.sleep(1.0)
         status, _ = await region.send_user_request(
             "POST", "/api/jobs", gang, region.controller_names[1]
@@ -175,7 +175,8 @@
         region.start_controller(region.controller_names[0])
         await region.wait_until(lambda: region.leader(), 20.0)
         assert (
-            region.leader() == region.controller_names[0] and term_version(region) == GANG_VERSION
+            region.leader() == region.controller_names[0]
+            and term_version(region) == CURRENT_VERSION
         )
 
     def term_version(region: Simulation) -> int:
--- a/tests/test_withdrawals.py
+++ b/tests/test_withdrawals.py
@@ -172,7 +172,7 @@
             sent.append(args) or asyncio.sleep(0)
         )
         machine.unanswered_starts[(name, number)] = (
-            controller.leadership.term_number(),
+            controller.manager.tokens.current(machine),
             machine.session,
         )
         controller.manager._on_attempt_recorded(machine.name, job, attempt)
