fleet: outdate a start on its way by its worker's token instead of a whole new term

Cause: when the start of a withdrawn task or of an ending gang stayed unanswered for 5 s, the leader made a new term, so that the worker refuses it. Every commit of an owner that was under way then failed its guard on the term, though one machine alone was concerned.

Change: where a term has a range of tokens, the machine's own token is raised and shown to it by an empty /orders, repeated each 5 s; the attempt stays pinned until the worker reports the new token, as it did until it reported the new term.

Also the simulated network delivers copies of answered requests between controllers, of users, to the cloud and to the state service (fault late_requests, drawn among the others).

The test that an ending gang's unanswered start requests a new term now runs for both, and asks of the range that one machine's token rises, that it is probed and that nothing is believed before it shows the token; the old case is asserted as before.

--- a/mosswalk/fleet/manager.py
+++ b/mosswalk/fleet/manager.py
@@ -207,7 +207,9 @@
             self.inventory, leadership, self._command_sender, clock
         )
         self._machine_list = MachineListIntake(self.inventory, self._offers, self, clock)
-        self._stale_starts = StaleStarts(self.inventory, registry, leadership, self.tokens, clock)
+        self._stale_starts = StaleStarts(
+            self.inventory, registry, leadership, self.tokens, self._command_sender, clock
+        )
         self._withdrawn_tasks = WithdrawnTasks(
             self.inventory,
             registry,
--- a/tests/fault_injection.py
+++ b/tests/fault_injection.py
@@ -285,6 +285,23 @@
     region.late_copy_share = 0.0
 
 
+# The paths of the requests to controllers, the cloud and the state service that change something.
+_COPIED_PATHS = (
+    "/offer", "/outcomes", "/withdrawn", "/api/jobs", "/machines", "/commit", "/holds",
+)  # fmt: skip
+
+
+async def _late_requests(region: Simulation, fault: Fault) -> None:
+    """Copies of answered requests reach controllers, the cloud and the state service again.
+
+    The selector chooses one kind of request; there are as many as ``_COPIED_PATHS``.
+    """
+    path = _COPIED_PATHS[fault.selector % len(_COPIED_PATHS)]
+    region.network.copied_shares[path] = 0.4
+    await asyncio.sleep(fault.duration_s)
+    region.network.copied_shares.pop(path, None)
+
+
 async def _all_copies(region: Simulation, fault: Fault) -> None:
     """Again and again, copies of all commands ever carried out reach the machines that are up."""
     end_at_s = region.now() + fault.duration_s
@@ -371,6 +388,7 @@
     "hang": _hang,
     "late_copies": _late_copies,
     "late_reports": _late_reports,
+    "late_requests": _late_requests,
     "late_writes": _late_writes,
     "leader_without_workers": _leader_without_workers,
     "leaders_change": _leaders_change,
--- a/tests/test_gangs.py
+++ b/tests/test_gangs.py
@@ -3,6 +3,7 @@
 from functools import partial
 from types import SimpleNamespace
 
+import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
@@ -27,6 +28,7 @@
 from mosswalk.store import records
 from mosswalk.store.records import Attempt, RecordLimits
 from mosswalk.store.writer import Change
+from mosswalk.wire.tokens import first_token_of_range
 from mosswalk.wire.workers import Command, Report, TaskReport
 from tests.fakes import RECORD_LIMITS, FakeClock, job_spec, machine_type
 from tests.test_jobs import InMemoryMirror
@@ -398,23 +400,30 @@
     assert confirms(Command("kill", "j-000002/0", 1, 3.0))
 
 
-def test_unanswered_start_of_an_ending_gang_requests_a_new_term(tmp_path):
+@pytest.mark.parametrize("ranged", [False, True])
+def test_unanswered_start_of_an_ending_gang_requests_a_new_term(tmp_path, ranged):
     """A start command without an answer may still arrive while its gang ends.
 
-    A new term makes workers reject it. It is requested after 5 s.
+    A higher token makes its worker refuse it after 5 s: a new term's where a term has only one.
     """
     _, mirror, registry, inventory, _ = _make_owner(tmp_path, 2)
     draft = Draft(registry.jobs["j-000001"], SMALL_COMMIT_LIMITS)
     draft.place_gang([Assignment(0, "vm-0000", 1), Assignment(1, "vm-0001", 1)], 1)
     mirror.commit(draft.to_change({}))
-    clock, requested = FakeClock(), []
+    clock, requested, probed = FakeClock(), [], []
+    first_token = first_token_of_range(1) if ranged else 1
     leadership = SimpleNamespace(
-        first_token=lambda: 1, request_new_term=lambda: requested.append(True)
+        first_token=lambda: first_token,
+        has_token_range=lambda: ranged,
+        request_new_term=lambda: requested.append(True),
     )
-    stale_starts = StaleStarts(inventory, registry, leadership, WorkerTokens(leadership), clock)
+    tokens, sender = WorkerTokens(leadership), SimpleNamespace(probe=probed.append)
+    stale_starts = StaleStarts(inventory, registry, leadership, tokens, sender, clock)
     inventory.machines["vm-0000"].session = 1
     # Attempt 1 of the task, with the token and the worker's session that its start was sent in.
-    inventory.machines["vm-0000"].unanswered_starts = {("j-000001/0", 1): (1, 1)}
+    machine = inventory.machines["vm-0000"]
+    machine.unanswered_starts = {("j-000001/0", 1): (first_token, 1)}
+    machine.started_with_token = first_token
     for ending in (False, True):
         if ending:
             draft = Draft(registry.jobs["j-000001"], SMALL_COMMIT_LIMITS)
@@ -423,4 +432,10 @@
         stale_starts.check()
         clock.us += 6_000_000
         stale_starts.check()
-        assert bool(requested) == ending
+        assert bool(requested) == (ending and not ranged)
+        assert probed == ([machine] if ending and ranged else [])
+        assert tokens.current(machine) == first_token + len(probed)
+    # Until the worker shows that it has seen the token, the start may still be carried out.
+    assert machine.may_still_start(("j-000001/0", 1), tokens.lowest())
+    machine.token = tokens.current(machine)
+    assert machine.may_still_start(("j-000001/0", 1), tokens.lowest()) != ranged
--- a/tests/test_late_copies.py
+++ b/tests/test_late_copies.py
@@ -46,6 +46,49 @@
     assert region.violations == []
 
 
+@pytest.mark.parametrize("selector", range(7))
+def test_no_rule_is_violated_by_copies_of_requests_between_the_other_parts(selector):
+    """Offers, outcomes, withdrawals; users' requests; rentals and releases; commits and leases."""
+    faults = [
+        F(8, "late_requests", 75, selector), F(25, "crash", 1, selector % 2), F(33, "cancel"),
+        F(45, "leaders_change", 13), F(50, "destroy_machines"), F(58, "cancel"),
+    ]  # fmt: skip
+    region = run_scenario(selector, faults, 16, JOB_KINDS_WITH_GANGS)
+    assert region.network.copies > 2
+    assert region.violations == []
+
+
+def test_start_on_the_way_of_a_cancelled_job_is_outdated_without_a_new_term():
+    async def run():
+        region = Simulation(3)
+        region.start()
+        await region.wait_until(region.leader)
+        assert await region.submit(job_spec("j-000000", tasks=1, kind="daemon"), 1e9)
+        await region.wait_until(lambda: region.running_on)
+        controller = region.controllers[region.leader()][0]
+        term, held = controller.leadership.term_number(), []
+        for worker in region.workers.values():
+
+            async def hold_start(method, path, body, sender, worker=worker):
+                if b"j-000001/0" in body and not held:
+                    held.append(body)
+                    await asyncio.sleep(20.0)
+                return await worker.serve(method, path, body, sender)
+
+            region.network.hosts[worker.address] = (worker.name, hold_start)
+        assert await region.submit(job_spec("j-000001", tasks=1), 1e9)
+        await region.wait_until(lambda: held)
+        await region.withdraw("j-000001")
+        await region.wait_until(lambda: "j-000001" not in controller.registry.jobs, 15.0)
+        assert held and "j-000001" not in controller.registry.jobs
+        assert controller.manager.tokens.raised == 1
+        await asyncio.sleep(30.0)
+        assert controller.leadership.term_number() == term
+        assert region.counts["started"] == 1 and region.violations == []
+
+    run_in_virtual_time(run())
+
+
 @pytest.mark.parametrize("controllers_restart", [False, True])
 @pytest.mark.parametrize("cancelled", [False, True])
 def test_copy_of_a_start_does_not_run_a_moved_or_cancelled_task(cancelled, controllers_restart):
--- a/tests/virtual_time.py
+++ b/tests/virtual_time.py
@@ -119,6 +119,9 @@
         # Hosts that hang until the event is set: messages to them wait, and they send nothing.
         self.hung_hosts: dict[str, asyncio.Event] = {}
         self.extra_delay_s: dict[str, float] = {}
+        # By the beginning of a path: the share of answered requests of which copies arrive late.
+        self.copied_shares: dict[str, float] = {}
+        self.copies = 0
         self._tasks: set[asyncio.Task[Any]] = set()
 
     def spawn(self, coroutine: Coroutine[Any, Any, Any]) -> asyncio.Task[Any]:
@@ -151,11 +154,29 @@
         if address not in self.hosts:
             raise aiohttp.ServerDisconnectedError
         answer = await self.hosts[address][1](method, path, body, sender)
+        self._maybe_copy(sender, address, method, path, body)
         await self._delay(name, sender)
         if address not in self.hosts:
             raise aiohttp.ServerDisconnectedError
         return answer
 
+    def _maybe_copy(self, sender: str, address: str, method: str, path: str, body: bytes) -> None:
+        share = next((s for p, s in self.copied_shares.items() if path.startswith(p)), 0.0)
+        if method == "POST" and share > 0.0 and self.rng.random() < share:
+            for _ in range(self.rng.choice([1, 1, 2])):
+                self.spawn(self._deliver_copy(sender, address, method, path, body))
+
+    async def _deliver_copy(
+        self, sender: str, address: str, method: str, path: str, body: bytes
+    ) -> None:
+        """A request that was answered arrives once more; nobody waits for the answer."""
+        await asyncio.sleep(self.rng.choice([self.rng.uniform(0.05, 3.0), self.rng.uniform(3, 32)]))
+        if address in self.hosts:
+            await self.wait_while_hung(self.hosts[address][0])
+        if address in self.hosts:
+            self.copies += 1
+            await self.hosts[address][1](method, path, body, sender)
+
     async def call(
         self, sender: str, method: str, url: str, body: bytes, timeout_s: float
     ) -> tuple[int, bytes]:
