fleet: a sent start has a type, and the machine tells which ones its worker would refuse

Tuples of token and session were read by index in three places, and the condition under which a worker refuses a start stood twice. No change of behaviour; the tests name the type.

--- a/mosswalk/fleet/command_sender.py
+++ b/mosswalk/fleet/command_sender.py
@@ -12,7 +12,7 @@
 
 from mosswalk.actors import Clock
 from mosswalk.fleet.command_log import CommandLog
-from mosswalk.fleet.inventory import Inventory, Machine
+from mosswalk.fleet.inventory import Inventory, Machine, SentStart
 from mosswalk.fleet.messages import DirectCommandsDone
 from mosswalk.fleet.worker_tokens import WorkerTokens
 from mosswalk.jobs.registry import AttemptKey, JobRegistry
@@ -177,7 +177,7 @@
             machine.started_with_token = token
         for start in starts:
             # Until it is answered, the start may be executed at any later time.
-            machine.unanswered_starts[start] = (token, machine.session)
+            machine.unanswered_starts[start] = SentStart(token, machine.session)
         message = DirectCommands(token, machine.session, tuple(to_send))
         self._command_log.direct_sent(name, message)
         self._spawn(self._post(machine.name, machine.address, message, starts))
--- a/mosswalk/fleet/inventory.py
+++ b/mosswalk/fleet/inventory.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import OrderedDict
-from typing import Literal
+from typing import Literal, NamedTuple
 
 from msgspec import Struct, field
 
@@ -20,6 +20,13 @@
 _MIN_RETAINED_GONE = 5000
 
 
+class SentStart(NamedTuple):
+    """The token and the worker's session with which a start was sent."""
+
+    token: int
+    session: int
+
+
 class Machine(Struct):
     """One machine, from its rental until the cloud has confirmed its release."""
 
@@ -73,8 +80,8 @@
     used_cpus: int = 0
     used_memory: int = 0
     has_replica: bool = False
-    # Starts sent to /orders that were not answered, with the token and session of the request.
-    unanswered_starts: dict[TaskKey, tuple[int, int]] = field(default_factory=dict)
+    # Starts sent to /orders that were not answered.
+    unanswered_starts: dict[TaskKey, SentStart] = field(default_factory=dict)
 
     def utilization(self, machine_type: MachineType) -> float:
         """The used fraction of CPUs or memory, whichever is higher."""
@@ -152,11 +159,18 @@
         Starts with a token below ``lowest_token``, the lowest of the leader, don't count.
         """
         sent = self.unanswered_starts.get(key)
-        return (
-            sent is not None
-            and sent[0] >= max(lowest_token, self.token)
-            and sent[1] == self.session
-        )
+        return sent is not None and self._would_accept(sent, lowest_token)
+
+    def discard_refused_starts(self, lowest_token: int) -> None:
+        """Discard the unanswered starts that the worker would refuse by now."""
+        self.unanswered_starts = {
+            key: sent
+            for key, sent in self.unanswered_starts.items()
+            if self._would_accept(sent, lowest_token)
+        }
+
+    def _would_accept(self, sent: SentStart, lowest_token: int) -> bool:
+        return sent.token >= max(lowest_token, self.token) and sent.session == self.session
 
 
 def report_shows_execution(command: Command, report: Report) -> bool:
--- a/mosswalk/fleet/manager.py
+++ b/mosswalk/fleet/manager.py
@@ -29,7 +29,7 @@
 from mosswalk.fleet.command_sender import CommandSender
 from mosswalk.fleet.consolidating import Consolidator
 from mosswalk.fleet.follower_reports import FollowerReports
-from mosswalk.fleet.inventory import Inventory, Machine
+from mosswalk.fleet.inventory import Inventory, Machine, SentStart
 from mosswalk.fleet.machine_list import MachineListIntake
 from mosswalk.fleet.messages import (
     DirectCommandsDone,
@@ -384,8 +384,9 @@
         if machine is None:
             return
         if not message.sent or message.report is not None:
+            sent = SentStart(message.token, message.session)
             for start in message.starts:
-                if machine.unanswered_starts.get(start) == (message.token, message.session):
+                if machine.unanswered_starts.get(start) == sent:
                     del machine.unanswered_starts[start]
         if message.report is not None:
             self._leadership.observe_term(message.report.term)
--- a/mosswalk/fleet/stale_starts.py
+++ b/mosswalk/fleet/stale_starts.py
@@ -52,7 +52,7 @@
         for machine in self._inventory.machines.values():
             if not machine.unanswered_starts:
                 continue
-            self._discard_refused_starts(machine)
+            machine.discard_refused_starts(self._tokens.lowest())
             keys = self._stale_starts(machine)
             since_us = {key: self._stale_since_us.get(key, now_us) for key in keys}
             if since_us and now_us - min(since_us.values()) > _MAX_STALE_START_AGE_US:
@@ -78,15 +78,6 @@
                 stale.append(key)
         return stale
 
-    def _discard_refused_starts(self, machine: Machine) -> None:
-        """Discard the starts that the worker would refuse."""
-        lowest_token = max(self._tokens.lowest(), machine.token)
-        machine.unanswered_starts = {
-            start: sent
-            for start, sent in machine.unanswered_starts.items()
-            if sent[0] >= lowest_token and sent[1] == machine.session
-        }
-
     def _outdate_starts(self, machine: Machine) -> None:
         """Show the worker a higher token: its own, or a new term's if the term has only one."""
         if not self._leadership.has_token_range():
--- a/tests/test_gangs.py
+++ b/tests/test_gangs.py
@@ -10,7 +10,7 @@
 from msgspec import Raw
 
 from mosswalk.config import Team
-from mosswalk.fleet.inventory import Inventory, Machine
+from mosswalk.fleet.inventory import Inventory, Machine, SentStart
 from mosswalk.fleet.report_evaluation import evaluate_report
 from mosswalk.fleet.report_intake import next_report_confirms
 from mosswalk.fleet.stale_starts import StaleStarts
@@ -422,7 +422,7 @@
     inventory.machines["vm-0000"].session = 1
     # Attempt 1 of the task, with the token and the worker's session that its start was sent in.
     machine = inventory.machines["vm-0000"]
-    machine.unanswered_starts = {("j-000001/0", 1): (first_token, 1)}
+    machine.unanswered_starts = {("j-000001/0", 1): SentStart(first_token, 1)}
     machine.started_with_token = first_token
     for ending in (False, True):
         if ending:
--- a/tests/test_report_evaluation.py
+++ b/tests/test_report_evaluation.py
@@ -4,7 +4,7 @@
 from hypothesis import strategies as st
 from msgspec import structs
 
-from mosswalk.fleet.inventory import Inventory, Machine
+from mosswalk.fleet.inventory import Inventory, Machine, SentStart
 from mosswalk.fleet.report_evaluation import evaluate_report, kill_commands_for_closed_jobs
 from mosswalk.jobs.state import Job, new_record
 from mosswalk.store.records import Attempt
@@ -65,9 +65,9 @@
 
 def test_exit_is_not_reaped_while_its_start_may_still_arrive():
     machine = make_machine()
-    machine.unanswered_starts[("j-1/0", 4)] = (7, 2)
+    machine.unanswered_starts[("j-1/0", 4)] = SentStart(7, 2)
     assert commands(evaluate([task_report("exited", "error")], attempts={}, machine=machine)) == []
-    machine.unanswered_starts[("j-1/0", 4)] = (6, 2)
+    machine.unanswered_starts[("j-1/0", 4)] = SentStart(6, 2)
     assert commands(evaluate([task_report("exited", "error")], attempts={}, machine=machine)) != []
 
 
@@ -83,7 +83,7 @@
     # The answer to /orders may overtake the leader's answer to the worker's periodic report.
     assert evaluate(stop_grace_s=0.0, is_periodic=False).outcomes == []
     machine = make_machine()
-    machine.unanswered_starts[("j-1/0", 4)] = (7, 2)
+    machine.unanswered_starts[("j-1/0", 4)] = SentStart(7, 2)
     assert evaluate(stop_grace_s=0.0, machine=machine).outcomes == []
 
 
@@ -106,7 +106,7 @@
     st.sampled_from([None, 0.0, 3.0]),
     st.booleans(),
     st.booleans(),
-    st.sampled_from([None, (7, 2), (6, 2), (7, 1)]),
+    st.sampled_from([None, SentStart(7, 2), SentStart(6, 2), SentStart(7, 1)]),
 )
 def test_attempt_is_never_both_started_and_reported_as_ended(
     phase, cause, session, term, stop_grace_s, may_start, is_periodic, unanswered_start
@@ -134,7 +134,7 @@
         assert not starts
     if any(o.kind == "lost" for o in evaluation.outcomes):
         assert session > 2 or (
-            term >= 7 and stop_grace_s is not None and unanswered_start != (7, 2)
+            term >= 7 and stop_grace_s is not None and unanswered_start != SentStart(7, 2)
         )
 
 
--- a/tests/test_withdrawals.py
+++ b/tests/test_withdrawals.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from mosswalk.fleet.inventory import Machine
+from mosswalk.fleet.inventory import Machine, SentStart
 from mosswalk.fleet.record_maintenance import RecordMaintenance
 from mosswalk.peers.withdrawal_broadcast import WithdrawalBroadcast
 from mosswalk.store import records
@@ -171,7 +171,7 @@
         controller.manager._command_sender._post = lambda *args: (
             sent.append(args) or asyncio.sleep(0)
         )
-        machine.unanswered_starts[(name, number)] = (
+        machine.unanswered_starts[(name, number)] = SentStart(
             controller.manager.tokens.current(machine),
             machine.session,
         )
