--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -224,6 +224,8 @@
         self.tasks_changed = asyncio.Event()
         # Reports are sent, but neither their answers nor commands arrive.
         self.receives_nothing = False
+        # The messages to /orders that it has carried out.
+        self.executed_messages: list[dict] = []
 
     def report(self) -> dict:
         self.sequence += 1
@@ -272,12 +274,24 @@
         ):
             await asyncio.sleep(60)
         body = await request.json()
-        if body["epoch"] < self.term or body["tenure"] != self.session:
+        if not self._accepts(body):
             return web.json_response(self.report(), status=409)
+        self.executed_messages.append(body)
         self.term = body["epoch"]
         self.execute(body["orders"])
         return web.json_response(self.report())
 
+    def _accepts(self, message: dict) -> bool:
+        return message["epoch"] >= self.term and message["tenure"] == self.session
+
+    def receive_copies(self) -> set[tuple[str, int]]:
+        """Copies of all that it ever carried out arrive; returns the attempts that they start."""
+        known = set(self.tasks)
+        for message in filter(self._accepts, self.executed_messages):
+            self.term = message["epoch"]
+            self.execute(message["orders"])
+        return self.tasks.keys() - known
+
     async def run(self) -> None:
         app = web.Application()
         app.router.add_post("/orders", self.handle_commands)
--- a/tests/test_cluster.py
+++ b/tests/test_cluster.py
@@ -245,6 +245,23 @@
     run_cluster_test(test, teams=(Team("red"), Team("blue", cpus_max=4.0)))
 
 
+def test_no_copy_of_an_answered_command_starts_a_task_again_after_all_controllers_restarted():
+    async def test(cluster, users):
+        await users.submit(job_spec("j-000055", tasks=6))
+        await users.wait_until_done("j-000055")
+        workers = [worker for worker, _ in cluster.workers.values()]
+        await wait_until(lambda: not any(worker.tasks for worker in workers))
+        copies = [c for w in workers for m in w.executed_messages for c in m["orders"]]
+        assert {c["piece"] for c in copies} == {f"j-000055/{i}" for i in range(6)}
+        for name in list(cluster.controllers):
+            await cluster.kill_controller(name)
+            await cluster.start_controller(name)
+        assert not any(worker.tasks for worker in workers)
+        assert [worker.receive_copies() for worker in workers] == [set()] * len(workers)
+
+    run_cluster_test(test)
+
+
 def test_machine_that_reports_but_receives_nothing_is_replaced():
     async def test(cluster, users):
         cluster.daemon_jobs.add("j-000060")
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -18,6 +18,7 @@
 
 from mosswalk.config import StateLimits
 from mosswalk.store import records
+from mosswalk.wire.tokens import first_token_of_range
 from tests.fakes import job_spec
 from tests.loopback import LoopbackCluster, settings_toml
 from tests.test_cluster import UserClient, wait_until
@@ -146,6 +147,13 @@
         await submit_until_accepted(users, gang, names[0])
         await users.wait_until_done(gang.id, 30.0)
         await users.wait_until_done("j-000002", 30.0)
+        # From now on no copy of a command starts anything, be it from before the upgrade.
+        workers = [worker for worker, _ in cluster.workers.values()]
+        await wait_until(
+            lambda: all(worker.term >= first_token_of_range(1) for worker in workers), 10.0
+        )
+        assert sum(len(worker.executed_messages) for worker in workers) > 10
+        assert [worker.receive_copies() for worker in workers] == [set()] * len(workers)
         # The upgrade has not stopped or moved any task of the daemon job.
         assert {
             t: m for t, m in cluster.running_on.items() if t.startswith("j-000001")
