fleet: tell a request that was not sent from one without an answer

A refused connection proves that nothing was sent, so an operator must not take it for a command that may still arrive: it has a label and a log line of its own.

--- a/mosswalk/fleet/command_log.py
+++ b/mosswalk/fleet/command_log.py
@@ -13,8 +13,9 @@
 
 log = logging.getLogger(__name__)
 
-# The label of requests that were not answered, in place of a status.
-NO_ANSWER = "none"
+# The labels of requests without an answer, in place of a status.
+_NO_ANSWER = "none"
+_NOT_SENT = "not_sent"
 
 
 def describe(commands: Iterable[Command]) -> str:
@@ -64,15 +65,21 @@
                 _describe_state(report),
             )
 
-    def direct_unanswered(self, machine: str, message: DirectCommands, error: Exception) -> None:
-        """Log that a POST /orders request failed; the worker may have received it nevertheless."""
-        self.direct_answers[NO_ANSWER] += 1
+    def direct_failed(
+        self, machine: str, message: DirectCommands, error: Exception, *, sent: bool
+    ) -> None:
+        """Log that a POST /orders request failed; if it was sent, the worker may have received it.
+
+        It was not sent if no connection was made.
+        """
+        self.direct_answers[_NO_ANSWER if sent else _NOT_SENT] += 1
         if message.commands:
             log.info(
-                "/orders to %s, token %d, session %d: no answer: %r",
+                "/orders to %s, token %d, session %d: %s: %r",
                 machine,
                 message.token,
                 message.session,
+                "no answer" if sent else "not sent",
                 error,
             )
 
--- a/mosswalk/fleet/command_sender.py
+++ b/mosswalk/fleet/command_sender.py
@@ -203,11 +203,11 @@
         except aiohttp.ClientConnectorError as error:
             # A failed connection attempt does not complete later, so nothing was sent.
             sent = False
-            self._command_log.direct_unanswered(name, message, error)
+            self._command_log.direct_failed(name, message, error, sent=False)
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
-            self._command_log.direct_unanswered(name, message, error)
+            self._command_log.direct_failed(name, message, error, sent=True)
         except msgspec.DecodeError as error:
-            self._command_log.direct_unanswered(name, message, error)
+            self._command_log.direct_failed(name, message, error, sent=True)
             log.error("worker %s: discarding malformed answer to /orders: %s", name, error)
         self._on_done(
             DirectCommandsDone(name, message.token, message.session, starts, sent, report)
--- a/tests/test_command_log.py
+++ b/tests/test_command_log.py
@@ -37,10 +37,11 @@
     probe = DirectCommands(6, 2, ())
     command_log.direct_sent("vm-1", probe)
     command_log.direct_answered("vm-1", probe, 200, make_report(6))
-    command_log.direct_unanswered("vm-1", probe, TimeoutError())
+    command_log.direct_failed("vm-1", probe, TimeoutError(), sent=True)
+    command_log.direct_failed("vm-1", probe, OSError(), sent=False)
     command_log.report_answered(make_report(), 7, ())
     assert caplog.messages == []
-    assert command_log.direct_answers == {"200": 1, "none": 1}
+    assert command_log.direct_answers == {"200": 1, "none": 1, "not_sent": 1}
 
 
 def test_started_stopped_reaped_and_unrecorded_attempts_are_logged_and_counted(caplog):
