fleet: rent for a small task that has waited 45 s, even if it leaves the machine mostly empty

Cause: no machine is rented for work that fills less than half of one (least_fill), as long as a machine exists on which it could run once that has room. Machines full of replicas never have room, and nothing counted how long the work had waited.

Change: work that has fitted nowhere for 45 s, half of the 90 s after which users call it waiting, is rented for like prod work.

--- a/mosswalk/factory/view.py
+++ b/mosswalk/factory/view.py
@@ -38,8 +38,8 @@
     rule: ZoneRule
     # Whether they wait for spot machines for now, so that no on-demand machines are rented.
     waits_for_spot: bool = False
-    # Tasks of prod jobs, of gangs or within the team's guarantee: a machine is rented for them
-    # even if they leave it mostly empty.
+    # Tasks of prod jobs, of gangs, within the team's guarantee or that have waited for long: a
+    # machine is rented for them even if they leave it mostly empty.
     urgent: bool = False
 
 
--- a/mosswalk/fleet/renting.py
+++ b/mosswalk/fleet/renting.py
@@ -24,6 +24,9 @@
 _CORDON_PERIOD_US = 2 * SECOND_US
 # How long machines for a gang are rented in one zone before the next is tried.
 _GANG_ZONE_PERIOD_US = 30 * SECOND_US
+# Machines that may never become free, such as those full of replicas, keep a job waiting no longer
+# than this: then one is rented for it even if the job leaves it mostly empty.
+_MAX_DEFERRAL_US = 45 * SECOND_US
 
 
 class FleetScaler:
@@ -103,13 +106,23 @@
                 # Machines for parts of the gang in several zones would be of no use.
                 rule.add(self._zone_for(job), 0)
             # A gang can't use the small amounts of capacity that others free one by one.
-            urgent = guaranteed or job.rank == 0 or job.is_gang
+            urgent = (
+                guaranteed
+                or job.rank == 0
+                or job.is_gang
+                or self._blocked_us(job) >= _MAX_DEFERRAL_US
+            )
             waiting.append(WaitingTasks(job, count, rule, waits_for_spot, urgent))
         self._gang_zones = {
             j: z for j, z in self._gang_zones.items() if j in self._blocked_since_us
         }
         return waiting
 
+    def _blocked_us(self, job: Job) -> int:
+        """For how long the job's next task has fitted nowhere."""
+        now_us = self._clock.now_us()
+        return now_us - self._blocked_since_us.get(job.id, now_us)
+
     def _zone_for(self, job: Job) -> str:
         """Return the zone to rent in for a gang that must run in one: that with most machines.
 
@@ -132,21 +145,17 @@
             }
             zones = sorted(fitting_zones, key=lambda zone: (-machines_by_zone[zone], zone)) or [""]
             self._gang_zones[job.id] = zones
-        now_us = self._clock.now_us()
-        waited_us = now_us - self._blocked_since_us.get(job.id, now_us)
-        return zones[waited_us // _GANG_ZONE_PERIOD_US % len(zones)]
+        return zones[self._blocked_us(job) // _GANG_ZONE_PERIOD_US % len(zones)]
 
     def _should_wait_for_spot(self, job: Job, guaranteed: bool) -> bool:
         """Return whether a job's tasks can wait until spot machines are free or rented."""
         if not job.spec.spot or job.rank < 2 or guaranteed:
             return False
-        now_us = self._clock.now_us()
-        waited_us = now_us - self._blocked_since_us.get(job.id, now_us)
         boot_s = max((t.boot_s for t in self._inventory.types.values()), default=0.0)
         # An on-demand machine is to be up within steady_within_s, so the time to boot shortens the
         # wait. Jobs of class idle wait twice as long, as no user waits for them.
         max_wait_s = self._tuning.steady_within_s * (job.rank - 1) - boot_s
-        if waited_us >= to_us(max_wait_s):
+        if self._blocked_us(job) >= to_us(max_wait_s):
             return False
         # Tasks often run half as long again as estimated.
         needed_us = to_us(1.5 * job.spec.estimate_s + boot_s)
--- a/tests/test_renting.py
+++ b/tests/test_renting.py
@@ -52,3 +52,21 @@
     assert allowed_zones() == ["a"]
     clock.us += 31 * S
     assert allowed_zones() == ["b"]
+
+
+def test_small_task_is_not_left_waiting_for_machines_full_of_replicas(tmp_path):
+    """They never become free, and no machine used to be rented for less than half of one."""
+    _, mirror, registry, inventory, clock, settings = make_fleet(tmp_path, 1)
+    clock.us += 100 * S
+    submit(mirror, tasks=1, cpus=1.0, priority="idle", spot=False)
+    scaler = FleetScaler(settings, inventory, registry, clock)
+    blocked = [SimpleNamespace(team=Team("red"), unschedulable=[registry.jobs["j-000001"]])]
+
+    def rented_after(seconds):
+        clock.us += seconds * S
+        scaler.record_blocked_jobs(blocked)
+        groups_by_pool, _ = scaler.decide(scaler.waiting_tasks(), lambda _: None, 4, set())
+        return sum(len(groups) for groups in groups_by_pool.values())
+
+    assert [rented_after(seconds) for seconds in (0, 1, 30, 13)] == [0, 0, 0, 0]
+    assert rented_after(2) == 1
