fleet: send a start again when it is refused for a raised token; reaps wait for nothing

Change: an attempt is reaped with the next answer, as before the fix. If the raised token outdates a start on its way, the worker's 409 shows that the start was not carried out, and it is sent again at once under the new token, unless it must not run any more. No copy of the refused request can be accepted later.

--- a/mosswalk/fleet/command_sender.py
+++ b/mosswalk/fleet/command_sender.py
@@ -82,11 +82,6 @@
         self._pending.pop(name, None)
         self._keep_alive.discard(name)
 
-    def is_in_flight(self, name: str) -> bool:
-        """Whether a request to a machine is waiting for its answer."""
-        pending = self._pending.get(name)
-        return pending is not None and pending.in_flight
-
     def request_ended(self, name: str) -> None:
         """Note that the request in flight has ended, and send what is pending."""
         pending = self._pending.get(name)
@@ -100,6 +95,18 @@
         pending.commands.append(command)
         self._schedule(machine.name, pending)
 
+    def resend_refused_starts(self, machine: Machine, done: DirectCommandsDone) -> None:
+        """Send the starts again that the worker refused because its token was raised meanwhile.
+
+        The answer lists every attempt whose start was executed.
+        """
+        if done.report is None or done.token >= self._tokens.current(machine):
+            return
+        listed = {(task.task, task.attempt) for task in done.report.tasks}
+        for task, attempt in done.starts:
+            if (task, attempt) not in listed:
+                self.send(machine, Command("run", task, attempt))
+
     def probe(self, machine: Machine) -> None:
         """Request a machine's state and show it the term, without waiting for its next report."""
         pending = self._pending.setdefault(machine.name, _PendingRequest())
--- a/mosswalk/fleet/manager.py
+++ b/mosswalk/fleet/manager.py
@@ -393,6 +393,7 @@
             self._check_leadership()
             if self._leading:
                 self._report_intake.process(message.report, is_periodic=False)
+                self._command_sender.resend_refused_starts(machine, message)
 
     # Offers.
 
--- a/mosswalk/fleet/report_intake.py
+++ b/mosswalk/fleet/report_intake.py
@@ -30,9 +30,6 @@
 
 # In these phases the image of a task is on its machine.
 _PHASES_WITH_IMAGE = ("running", "gathering")
-# More attempts than this are reaped although a request is in flight, which may then be refused:
-# they would make the worker's reports grow.
-_MAX_WAITING_REAPS = 64
 
 
 class ReportListener(Protocol):
@@ -191,14 +188,10 @@
     def _answerable(self, machine: Machine, commands: list[Command]) -> list[Command]:
         """The commands to send now; the others follow from the next report again.
 
-        An attempt is reaped only with a token that outdates its start. That would outdate a request
-        in flight as well, so reaps wait for its answer, unless too many attempts are to be reaped.
+        An attempt is reaped only with a token that outdates its start.
         """
-        reaps = sum(1 for command in commands if command.op == "reap")
-        if reaps and (
-            (reaps <= _MAX_WAITING_REAPS and self._command_sender.is_in_flight(machine.name))
-            or not self._tokens.outdate_starts(machine)
-        ):
+        reaps = any(command.op == "reap" for command in commands)
+        if reaps and not self._tokens.outdate_starts(machine):
             commands = [command for command in commands if command.op != "reap"]
         return commands[:MAX_COMMANDS_PER_MESSAGE]
 
