--- a/review/kit2/world.py
+++ b/review/kit2/world.py
@@ -37,11 +37,25 @@
 Answer = tuple[int, Any]
 
 
+_given_ports: set[int] = set()
+
+
 def free_port() -> int:
-    """A free loopback port."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+    """A free loopback port, below those that outgoing connections take.
+
+    A controller that is started again needs its port to be free still.
+    """
+    while True:
+        port = random.randrange(12_000, 32_000)
+        if port in _given_ports:
+            continue
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        _given_ports.add(port)
+        return port
 
 
 class Rate:
