--- a/review/kit2/world.py
+++ b/review/kit2/world.py
@@ -371,8 +371,11 @@
         self.changed = asyncio.Event()
         self.answered_s = 0.0
         self.node = world.rng.randrange(len(world.nodes))
-        # A test may treat /orders: it gets the body and a function that carries it out.
-        self.on_orders: Callable[[dict, Callable[[], Answer]], Awaitable[Answer]] | None = None
+        # A case may treat /orders: it gets the body and a function that carries it out. The
+        # connection is reset if it returns None.
+        self.on_orders: Callable[[dict, Callable[[], Answer]], Awaitable[Answer | None]] | None = (
+            None
+        )
         world.workers[name] = self
         world.on_new_worker(self)
 
@@ -511,10 +514,14 @@
             self.execute(body["orders"], f"/orders, token {body['epoch']}")
             return 200, self.report()
 
-        status, answer = (
+        result = (
             await self.on_orders(body, carry_out) if self.on_orders is not None else carry_out()
         )
-        return web.json_response(answer, status=status)
+        if result is None:
+            # A cut resets the connection before the worker has received the request.
+            request.transport.abort()
+            return web.Response()
+        return web.json_response(result[1], status=result[0])
 
     async def run(self) -> None:
         """Boot, then report until the machine is gone."""
