--- a/mosswalk/fleet/manager.py
+++ b/mosswalk/fleet/manager.py
@@ -146,6 +146,8 @@
         self._consolidator = Consolidator(self.inventory, registry, self._offers, clock)
         self.cloud: CloudCaller | None = None
         self._leading = False
+        # The last term in which this controller was found to lead.
+        self._led_term = 0
         self._leading_since_us = 0
         # Since when reports have been answered without a break; silence counts only from then on.
         self._answering_since_us = 0
@@ -290,10 +292,18 @@
     def _check_leadership(self) -> None:
         """Set up the leader's state when this controller begins to lead; clear it when it stops."""
         leads = self._leadership.leads()
+        term = self._leadership.term_number()
+        if leads and not self._leading and term == self._led_term:
+            # What this controller decided, sent and learned before it lost the lead is forgotten,
+            # but messages of this term may still be on the way.
+            self._leadership.request_new_term()
+            return
+        if leads:
+            self._led_term = term
         if leads and not self._leading:
             log.info(
                 "leading in term %d, tokens from %d",
-                self._leadership.term_number(),
+                term,
                 self.tokens.lowest(),
             )
             self._leading = True
@@ -303,7 +313,7 @@
             self._report_intake.start_leading()
             # In the first term no controller has led before, so nothing has been rented: no need to
             # wait until the machine list shows earlier rentals.
-            self._is_first_leader = self._leadership.term_number() <= 1
+            self._is_first_leader = term <= 1
             self._list_received = self._types_received = False
             self._load_recorded_types()
             # A request whose last time is this far back is due at once; so is the cleanup below.
--- a/mosswalk/fleet/outcome_sender.py
+++ b/mosswalk/fleet/outcome_sender.py
@@ -34,6 +34,8 @@
 class _PendingOutcome(Struct):
     outcome: Outcome
     sent_at_us: int | None = None
+    # Owners record an outcome only in the term in which it was sent.
+    sent_in_term: int = 0
 
 
 class OutcomeSender:
@@ -65,6 +67,10 @@
         self._pending.clear()
         self._unsent.clear()
 
+    def is_pending(self, outcome: Outcome) -> bool:
+        """Whether an outcome of the same attempt waits to be recorded."""
+        return (outcome.task, outcome.attempt) in self._pending
+
     def add_reported(self, outcome: Outcome) -> None:
         """Add an outcome that is known from a report or again; if sent, it waits for its resend."""
         key = (outcome.task, outcome.attempt)
@@ -94,11 +100,14 @@
         self._unsent.clear()
         self._last_scan_at_us = self._clock.now_us()
         resend_before_us = self._last_scan_at_us - _RESEND_INTERVAL_US
+        term = self._leadership.term_number()
         self._send_all(
             [
                 (key, pending)
                 for key, pending in self._pending.items()
-                if pending.sent_at_us is None or pending.sent_at_us <= resend_before_us
+                if pending.sent_at_us is None
+                or pending.sent_at_us <= resend_before_us
+                or pending.sent_in_term != term
             ]
         )
 
@@ -124,7 +133,7 @@
                 # command to reap the task.
                 self._pending.pop(key, None)
                 continue
-            pending.sent_at_us = now_us
+            pending.sent_at_us, pending.sent_in_term = now_us, term.term
             node = term.owners.get(job.spec.team)
             if node is not None:
                 by_node.setdefault(node, []).append(pending.outcome)
--- a/mosswalk/fleet/report_intake.py
+++ b/mosswalk/fleet/report_intake.py
@@ -24,6 +24,7 @@
 from mosswalk.jobs.registry import JobRegistry
 from mosswalk.jobs.state import parse_task_name
 from mosswalk.leadership.actor import Leadership
+from mosswalk.wire.peers import Outcome
 from mosswalk.wire.workers import MAX_COMMANDS_PER_MESSAGE, Command, Report
 
 log = logging.getLogger(__name__)
@@ -164,6 +165,7 @@
         # A report of a term before this leader's may be a late copy and proves nothing.
         outcomes = evaluation.outcomes if machine.has_acknowledged_leader else []
         for outcome in outcomes:
+            self._log_if_lost(outcome, report)
             self._outcome_sender.add_reported(outcome)
         if outcomes:
             self._outcome_sender.send_new()
@@ -181,6 +183,22 @@
         machine.record_answer(self._tokens.current(machine), confirmable, now_us)
         return commands
 
+    def _log_if_lost(self, outcome: Outcome, report: Report) -> None:
+        """Log which report first shows that an attempt is lost: of a later session, or without it.
+
+        A report of the attempt's own session shows it only for an attempt that is to be stopped.
+        """
+        if outcome.kind == "lost" and not self._outcome_sender.is_pending(outcome):
+            log.info(
+                "%s attempt %d on %s is lost by report %d.%d in term %d",
+                outcome.task,
+                outcome.attempt,
+                outcome.machine,
+                report.session,
+                report.sequence,
+                self._leadership.term_number(),
+            )
+
     def answer_token(self, report: Report) -> int:
         """The token for the answer to a report that has been processed."""
         return self._tokens.current(self._inventory.machines.get(report.machine))
--- a/mosswalk/placement/owner.py
+++ b/mosswalk/placement/owner.py
@@ -29,9 +29,11 @@
 from mosswalk.placement.capacity import FreeCapacity, capacity_from_offer
 from mosswalk.placement.failure_backoff import FailureBackoff
 from mosswalk.placement.queues import QueueOrder, TeamQueue
+from mosswalk.placement.received_outcomes import ReceivedOutcomes
 from mosswalk.store import records
 from mosswalk.store.client import ConflictError, RefusedError, UnknownOutcomeError
 from mosswalk.store.mirror import Mirror
+from mosswalk.store.records import TermRecord
 from mosswalk.store.writer import Change, GroupWriter
 from mosswalk.wire.peers import Offer, OfferAnswer, Outcome, Outcomes
 
@@ -78,7 +80,7 @@
         self._max_outcome_jobs = _MIN_JOB_LIMIT
         self._queue_order = QueueOrder(settings.params.objectives, settings.params.teams)
         self._teams = {team.name: team for team in settings.params.teams}
-        self._outcomes: dict[tuple[str, int], Outcome] = {}
+        self._outcomes = ReceivedOutcomes()
         # Since when outcomes of a job are deferred, by job.
         self._deferred_since_us: dict[str, int] = {}
         self._offers: list[tuple[Offer, asyncio.Future[OfferAnswer]]] = []
@@ -92,9 +94,8 @@
     # Messages from the leader.
 
     def receive_outcomes(self, message: Outcomes) -> None:
-        """Accept outcomes of attempts, which the leader repeats until the records show them."""
-        for outcome in message.outcomes:
-            self._outcomes[(outcome.task, outcome.attempt)] = outcome
+        """Accept outcomes of attempts, which a leader repeats until the records show them."""
+        self._outcomes.add(message)
         if message.outcomes:
             self._wake.set()
 
@@ -123,20 +124,18 @@
 
     async def _run_round(self, offers: list[tuple[Offer, asyncio.Future[OfferAnswer]]]) -> None:
         """Apply outcomes, place tasks on offers, commit one change per job, answer the offers."""
+        if self._leadership.term is not None:
+            self._share_write_rate(self._leadership.term)
+            await self._split_records()
+        # Offers and outcomes are compared with the term whose version guards the commits: nothing
+        # is awaited from here until the guards are read.
         term = self._leadership.term
         if term is None:
             self._outcomes.clear()
             return
-        # The write rate is limited for all controllers together: each owner takes an equal share.
-        rate_share = 1.0 / max(1, len(set(term.owners.values())))
-        self._writer.set_rate_share(rate_share)
-        self._max_outcome_jobs = max(
-            _MIN_JOB_LIMIT, int(self._write_rps * rate_share * _LIMITED_ROUND_WRITE_S)
-        )
-        await self._split_records()
         drafts: dict[str, Draft] = {}
         self._end_partly_placed_gangs(drafts)
-        self._apply_outcomes(drafts)
+        self._apply_outcomes(drafts, term.term)
         for job in self._registry.withdrawn.values():
             # The last attempt ended while the job was being withdrawn: it only has to be closed.
             # An empty draft does that, because it puts the final record of such a job.
@@ -186,6 +185,14 @@
             if not future.done():
                 future.set_result(OfferAnswer(revision, placed))
 
+    def _share_write_rate(self, term: TermRecord) -> None:
+        """Take an equal share of the write rate, which is limited for all controllers together."""
+        rate_share = 1.0 / max(1, len(set(term.owners.values())))
+        self._writer.set_rate_share(rate_share)
+        self._max_outcome_jobs = max(
+            _MIN_JOB_LIMIT, int(self._write_rps * rate_share * _LIMITED_ROUND_WRITE_S)
+        )
+
     def _may_change(self, job: Job) -> bool:
         """Whether changes of a job may be computed from its records here.
 
@@ -305,19 +312,23 @@
         now_us = self._clock.now_us()
         return now_us - self._deferred_since_us.setdefault(job.id, now_us) < _MAX_DEFERRAL_US
 
-    def _apply_outcomes(self, drafts: dict[str, Draft]) -> None:
-        """Record received outcomes in drafts of their jobs; defer those that need not be now."""
-        outcomes, self._outcomes = self._outcomes, {}
+    def _outcomes_by_job(self, term: int) -> dict[str, list[tuple[int, int, Outcome]]]:
+        """Take the outcomes of a term that the records don't show, with task and attempt."""
         by_job: dict[str, list[tuple[int, int, Outcome]]] = {}
-        for (task, number), outcome in outcomes.items():
-            parsed = parse_task_name(task)
+        for outcome in self._outcomes.take(term):
+            parsed = parse_task_name(outcome.task)
             job = self._registry.jobs.get(parsed[0]) if parsed is not None else None
             if parsed is None or job is None or not self._leadership.owns(job.spec.team):
                 continue
-            attempt = job.find_attempt(parsed[1], number)
+            attempt = job.find_attempt(parsed[1], outcome.attempt)
             if attempt is None or attempt.machine != outcome.machine:
                 continue
-            by_job.setdefault(job.id, []).append((parsed[1], number, outcome))
+            by_job.setdefault(job.id, []).append((parsed[1], outcome.attempt, outcome))
+        return by_job
+
+    def _apply_outcomes(self, drafts: dict[str, Draft], term: int) -> None:
+        """Record a term's outcomes in drafts of their jobs; defer those that need not be now."""
+        by_job = self._outcomes_by_job(term)
         # A round waits for all its changes. While prod work waits, a round takes only as many
         # outcomes as can be written quickly: after a network partition, replicas waited 10 s for
         # the outcomes of arrays. Otherwise it takes all of them: with a slow state service, short
@@ -338,7 +349,7 @@
                 or self._can_defer(job, job_outcomes)
                 or self._schedule_split_if_needed(job)
             ):
-                self._outcomes.update({(o.task, number): o for _, number, o in job_outcomes})
+                self._outcomes.add(Outcomes(term, tuple(o for _, _, o in job_outcomes)))
                 if over_limit:
                     self._wake.set()
                 continue
@@ -347,7 +358,7 @@
             for index, number, outcome in job_outcomes:
                 if not draft.record_outcome(index, number, outcome.kind):
                     # It does not fit this round's transaction: the next round records it.
-                    self._outcomes[(outcome.task, number)] = outcome
+                    self._outcomes.add(Outcomes(term, (outcome,)))
                     self._wake.set()
                     continue
                 log.info(
--- a/tests/test_offers.py
+++ b/tests/test_offers.py
@@ -18,7 +18,7 @@
 from mosswalk.store import records
 from mosswalk.store.records import TermRecord
 from mosswalk.store.writer import Change
-from mosswalk.wire.peers import Outcome
+from mosswalk.wire.peers import Outcome, Outcomes
 from mosswalk.wire.workers import TaskReport
 from tests.fakes import RECORD_LIMITS, FakeClock, job_spec, machine_type
 from tests.test_config import write_settings
@@ -150,12 +150,13 @@
 
     def ended_after(*outcomes):
         owner.receive_outcomes(
-            SimpleNamespace(
-                outcomes=[Outcome(f"j-000001/{i}", i + 1, "vm-0000", kind) for i, kind in outcomes]
+            Outcomes(
+                1,
+                tuple(Outcome(f"j-000001/{i}", i + 1, "vm-0000", kind) for i, kind in outcomes),
             )
         )
         drafts = {}
-        owner._apply_outcomes(drafts)
+        owner._apply_outcomes(drafts, 1)
         return sum(len(d.ended) for d in drafts.values())
 
     assert ended_after((0, "done")) == 0
@@ -188,10 +189,10 @@
     leadership = SimpleNamespace(owns=lambda team: True, gangs_allowed=lambda: False)
     owner = Owner(settings, mirror, registry, None, leadership, clock)
     owner.receive_outcomes(
-        SimpleNamespace(outcomes=[Outcome(f"j-{i:06d}/0", 1, "vm-0000", "lost") for i in range(40)])
+        Outcomes(1, tuple(Outcome(f"j-{i:06d}/0", 1, "vm-0000", "lost") for i in range(40)))
     )
     drafts = {}
-    owner._apply_outcomes(drafts)
+    owner._apply_outcomes(drafts, 1)
     assert len(drafts) == owner._max_outcome_jobs and owner._wake.is_set()
     job_ids = [draft.job.id for draft in drafts.values()]
     prod_job_ids = [f"j-{i:06d}" for i in (9, 19, 29, 39)]
@@ -201,7 +202,7 @@
     for draft in drafts.values():
         mirror.commit(draft.to_change({}))
     drafts = {}
-    owner._apply_outcomes(drafts)
+    owner._apply_outcomes(drafts, 1)
     assert len(drafts) == owner._max_outcome_jobs
     for job_id in prod_job_ids:
         draft = Draft(registry.jobs[job_id], RECORD_LIMITS)
@@ -210,7 +211,7 @@
         )
         mirror.commit(draft.to_change({}))
     drafts = {}
-    owner._apply_outcomes(drafts)
+    owner._apply_outcomes(drafts, 1)
     assert len(drafts) == 24 and not owner._outcomes
 
 
