--- a/mosswalk/fleet/command_sender.py
+++ b/mosswalk/fleet/command_sender.py
@@ -181,7 +181,7 @@
         starts = tuple((c.task, c.attempt) for c in to_send if c.op == "run")
         token = self._tokens.current(machine)
         if starts:
-            machine.started_with_token = token
+            machine.record_starts(token, starts)
         for start in starts:
             # Until it is answered, the start may be executed at any later time.
             machine.unanswered_starts[start] = SentStart(token, machine.session)
--- a/mosswalk/fleet/inventory.py
+++ b/mosswalk/fleet/inventory.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import OrderedDict
+from collections.abc import Iterable
 from typing import Literal, NamedTuple
 
 from msgspec import Struct, field
@@ -49,9 +50,11 @@
     session: int = 0
     sequence: int = -1
     token: int = 0
-    # The token that was set for it alone, if any, and the highest one with which a start was sent.
+    # The token that was set for it alone, if any.
     raised_token: int = 0
+    # The highest token with which starts were sent to /orders, and those starts.
     started_with_token: int = 0
+    starts_with_token: set[TaskKey] = field(default_factory=set)
     # Whether it has reported in a term of this leader. A report of an earlier term may be a late
     # copy, even from a machine long gone, and shows nothing of the present state.
     has_acknowledged_leader: bool = False
@@ -153,6 +156,13 @@
         while len(self.cached_images) > 1 and sum(self.cached_images.values()) > cache_gb:
             self.cached_images.popitem(last=False)
 
+    def record_starts(self, token: int, starts: Iterable[TaskKey]) -> None:
+        """Record starts that are sent to /orders; the token is not lower than earlier ones."""
+        if token > self.started_with_token:
+            self.started_with_token = token
+            self.starts_with_token.clear()
+        self.starts_with_token.update(starts)
+
     def may_still_start(self, key: TaskKey, lowest_token: int) -> bool:
         """Whether the worker may still execute an unanswered start.
 
--- a/mosswalk/fleet/report_intake.py
+++ b/mosswalk/fleet/report_intake.py
@@ -29,6 +29,9 @@
 
 log = logging.getLogger(__name__)
 
+# A new term is requested if a machine reports more ended attempts than this that can't be reaped in
+# the current one. It keeps reports well below the size that PROTOCOL allows.
+_MAX_WAITING_REAPS = 256
 # In these phases the image of a task is on its machine.
 _PHASES_WITH_IMAGE = ("running", "gathering")
 
@@ -206,11 +209,24 @@
     def _answerable(self, machine: Machine, commands: list[Command]) -> list[Command]:
         """The commands to send now; the others follow from the next report again.
 
-        An attempt is reaped only with a token that outdates its start.
+        An attempt is reaped only with a token that outdates its start. In a term with a single
+        token it waits for the next term, and the worker goes on reporting it.
         """
-        reaps = any(command.op == "reap" for command in commands)
+        reaps = [command for command in commands if command.op == "reap"]
         if reaps and not self._tokens.outdate_starts(machine):
-            commands = [command for command in commands if command.op != "reap"]
+            waiting = {
+                command
+                for command in reaps
+                if self._tokens.may_start_again(machine, (command.task, command.attempt))
+            }
+            commands = [command for command in commands if command not in waiting]
+            if len(waiting) > _MAX_WAITING_REAPS:
+                log.info(
+                    "requesting a new term: %d ended attempts on %s can't be reaped in this one",
+                    len(waiting),
+                    machine.name,
+                )
+                self._leadership.request_new_term()
         return commands[:MAX_COMMANDS_PER_MESSAGE]
 
     def _is_startable(self, job_id: str) -> bool:
--- a/mosswalk/fleet/worker_tokens.py
+++ b/mosswalk/fleet/worker_tokens.py
@@ -8,7 +8,7 @@
 
 from typing import Protocol
 
-from mosswalk.fleet.inventory import Machine
+from mosswalk.fleet.inventory import Machine, TaskKey
 from mosswalk.wire.tokens import is_last_of_range
 
 
@@ -33,6 +33,8 @@
         # The lowest token for the machines in the inventory, and the highest one used so far.
         self._lowest = 0
         self._highest = 0
+        # The highest token with which a start may have been sent to any machine before ``reset``.
+        self._started_before_reset = 0
         # How often the token of a single machine was raised.
         self.raised = 0
 
@@ -49,29 +51,39 @@
         return lowest if machine is None else max(machine.raised_token, lowest)
 
     def outdate_starts(self, machine: Machine) -> bool:
-        """Raise a machine's token if a start was sent to it with the current one.
+        """Make sure that a machine's token is above that of every start sent to it.
 
-        A worker that has received a message with the new token refuses copies of all starts sent
-        before. Returns False if the range is exhausted, which requests a new term.
+        A worker that has received a message with this token refuses copies of all these starts. The
+        token is raised if a start was sent with the current one. Returns False if that is not
+        possible: the term has a single token, or its range is exhausted, which requests a new term.
         """
-        if not self._source.has_token_range():
-            return True
         token = self.current(machine)
+        if max(machine.started_with_token, self._started_before_reset) < token:
+            return True
+        if not self._source.has_token_range():
+            return False
         if is_last_of_range(token):
             self._source.request_new_term()
             return False
-        if machine.started_with_token < token:
-            return True
         machine.raised_token = token + 1
         self._highest = max(self._highest, machine.raised_token)
         self.raised += 1
         return True
 
+    def may_start_again(self, machine: Machine, attempt: TaskKey) -> bool:
+        """Whether the machine's current token lets a copy of an attempt's start pass."""
+        token = self.current(machine)
+        return self._started_before_reset >= token or (
+            machine.started_with_token >= token and attempt in machine.starts_with_token
+        )
+
     def reset(self) -> None:
         """Discard the machines' tokens; called when this controller stops leading.
 
-        If it leads again in the same term, all machines begin above the tokens used before.
+        If it leads again in the same term, all machines begin above the tokens used before. In a
+        term with a single token no start sent before can be outdated.
         """
+        self._started_before_reset = self._highest
         if self._source.has_token_range() and not is_last_of_range(self._highest):
             self._highest += 1
             self._lowest = self._highest
--- a/mosswalk/leadership/actor.py
+++ b/mosswalk/leadership/actor.py
@@ -20,7 +20,11 @@
     next_term,
     verdicts_between,
 )
-from mosswalk.leadership.upgrade import eligible_runs, may_upgrade
+from mosswalk.leadership.upgrade import (
+    eligible_runs,
+    may_begin_with_current_version,
+    may_upgrade,
+)
 from mosswalk.store import records
 from mosswalk.store.client import (
     ConflictError,
@@ -519,10 +523,12 @@
         """Write a new term that this controller leads, and take the leader's key with it.
 
         Guarded by the versions of both keys, so that of several candidates one succeeds. A term
-        that enables new behaviour is also guarded by the presences that show all support it.
+        that enables new behaviour is also guarded by the presences that show all support it, and by
+        the absence of the other controllers.
         """
         if self.lease is None:
             return
+        upgrade = upgrade or (self.term is None and may_begin_with_current_version(self.present))
         term = next_term(
             self.term,
             self.node,
--- a/tests/fault_injection.py
+++ b/tests/fault_injection.py
@@ -150,6 +150,13 @@
             await asyncio.sleep(0.3 * (fault.selector % 3))
 
 
+async def _controllers_join(region: Simulation, _fault: Fault) -> None:
+    """Controllers that have never been up are started."""
+    joining, region.absent = region.absent, set()
+    for name in sorted(joining):
+        region.start_controller(name)
+
+
 async def _leaders_change(region: Simulation, fault: Fault) -> None:
     """One leader after another ends, and restarts 0.3 s later."""
     end_at_s = region.now() + fault.duration_s
@@ -380,6 +387,7 @@
     "cancel_and_hang": _cancel_and_hang,
     "cancel_at_end": _cancel_at_end,
     "cloud_outage": _cloud_outage,
+    "controllers_join": _controllers_join,
     "crash": _crash,
     "crash_all": _crash_all,
     "cut_inbound": _cut_inbound,
@@ -444,10 +452,15 @@
     regions: list[Simulation],
     job_kinds: tuple[str, ...],
     tuning: Tuning,
+    absent: Iterable[str],
+    old: Iterable[str],
 ) -> None:
     region = Simulation(seed, tuning=tuning)
+    region.absent.update(absent)
     regions.append(region)
     region.start()
+    for name in old:
+        region.add_old_presence(name)
     await asyncio.sleep(FIRST_SUBMIT_AT_S)
 
     async def submit_jobs() -> None:
@@ -485,8 +498,16 @@
     job_count: int = 14,
     job_kinds: tuple[str, ...] = JOB_KINDS,
     tuning: Tuning = DEFAULT_TUNING,
+    absent: Iterable[str] = (),
+    old: Iterable[str] = (),
 ) -> Simulation:
-    """Run a scenario; returns the region with its violations and counts."""
+    """Run a scenario; returns the region with its violations and counts.
+
+    The controllers named in ``absent`` are not started before the fault ``controllers_join``. Those
+    named in ``old`` are shown as present with the production version.
+    """
     regions: list[Simulation] = []
-    run_in_virtual_time(_run_scenario(seed, faults, job_count, regions, job_kinds, tuning))
+    run_in_virtual_time(
+        _run_scenario(seed, faults, job_count, regions, job_kinds, tuning, absent, old)
+    )
     return regions[0]
--- a/tests/simulation.py
+++ b/tests/simulation.py
@@ -16,6 +16,7 @@
 
 import aiohttp
 import msgspec
+from msgspec import Raw
 
 from mosswalk.config import (
     CloudLimits,
@@ -30,10 +31,13 @@
 )
 from mosswalk.config.operator import Tuning
 from mosswalk.service import Controller
+from mosswalk.store import records
 from mosswalk.wire.peers import Heartbeat, Offer, Outcomes, Withdrawals
+from mosswalk.wire.state import Transaction, Write
 from mosswalk.wire.users import JobSpec
 from mosswalk.wire.workers import Report
 from tests.fakes import machine_type
+from tests.production import records as production
 from tests.simulated_gangs import GANG_PEER_S, GANG_WAIT_S, SimulatedGangs
 from tests.simulated_services import LEASE_S, REPORT_S, StateService, Worker
 from tests.virtual_time import CURRENT_PROCESS, Network, SimulatedHttp, VirtualClock
@@ -67,6 +71,8 @@
         self.controller_names = [f"moss-{i}" for i in range(controller_count)]
         self.addresses = {n: f"{n}:8080" for n in self.controller_names}
         self.controllers: dict[str, tuple[Controller, list[asyncio.Task]]] = {}
+        # The controllers that are not started, whatever happens, until they are taken out here.
+        self.absent: set[str] = set()
         self.workers: dict[str, Worker] = {}
         # By the request's id: the machines rented.
         self.rentals: dict[str, list[str]] = {}
@@ -291,8 +297,8 @@
         )
 
     def start_controller(self, name: str) -> None:
-        if name in self.controllers:
-            # Another fault has killed and restarted it in the meantime.
+        if name in self.controllers or name in self.absent:
+            # Another fault has killed and restarted it in the meantime, or it is not to be started.
             return
         http = SimulatedHttp(self.network, name)
         rng = random.Random(self.rng.random())
@@ -344,6 +350,14 @@
         self.network.hosts[f"{name}:8080"] = (name, serve_api)
         self.network.hosts[f"{name}:8081"] = (name, serve_peers)
 
+    def add_old_presence(self, name: str) -> None:
+        """Let the state service show a controller of the production version, without serving."""
+        lease = self.state.store.grant()
+        self.state.leases[lease] = (10**9, 10**9)
+        value = Raw(production.encode(production.Presence(name, "old")))
+        key = records.NODE_PREFIX + name
+        self.state._apply(Transaction((), (Write(key=key, value=value, lease=lease),)))
+
     def kill_controller(self, name: str) -> None:
         self.loop.thaw(name)
         controller, tasks = self.controllers.pop(name)
--- a/tests/test_versions.py
+++ b/tests/test_versions.py
@@ -14,7 +14,6 @@
 from mosswalk.store import records
 from mosswalk.store.records import CURRENT_VERSION, GANG_VERSION, Presence, TermRecord
 from mosswalk.wire import peers
-from mosswalk.wire import state as wire
 from tests.fakes import RECORD_LIMITS, job_spec
 from tests.production import records as production
 from tests.test_wire import job_specs
@@ -117,6 +116,36 @@
         assert not needs_new_term(term, runs)
 
 
+@pytest.mark.parametrize("old_joins", [False, True])
+def test_group_begins_with_the_current_version_unless_an_old_controller_is_present(old_joins):
+    """Guards against review/5; an old one that comes as the first term is written is seen."""
+    from tests.simulation import Simulation
+    from tests.virtual_time import run_in_virtual_time
+
+    async def scenario() -> None:
+        region = Simulation(7)
+        region.absent = {"moss-2"}
+        region.start()
+        (leadership, *_) = (c.leadership for c, _ in region.controllers.values())
+        campaign = leadership._campaign
+        joined = []
+
+        async def campaign_as_old_one_joins(reason: str) -> None:
+            if old_joins and not joined:
+                joined.append(reason)
+                region.add_old_presence("moss-2")
+            await campaign(reason)
+
+        region.kill_controller("moss-1")
+        leadership._campaign = campaign_as_old_one_joins
+        await region.wait_until(lambda: leadership.leads(), 20.0)
+        assert leadership.leads() and bool(joined) == old_joins
+        assert leadership.term.version == (1 if old_joins else CURRENT_VERSION)
+        assert leadership.term_number() == 1
+
+    run_in_virtual_time(scenario())
+
+
 def test_gang_submitted_before_the_upgrade_is_refused_with_retry_after():
     from tests.simulation import Simulation
     from tests.virtual_time import run_in_virtual_time
@@ -149,11 +178,7 @@
         region = Simulation(2)
         region.start()
         region.kill_controller("moss-2")
-        lease = region.state.store.grant()
-        region.state.leases[lease] = (10**9, 10**9)
-        old = Raw(production.encode(production.Presence("moss-2", "old")))
-        key = records.NODE_PREFIX + "moss-2"
-        region.state._apply(wire.Transaction((), (wire.Write(key=key, value=old, lease=lease),)))
+        region.add_old_presence("moss-2")
         await asyncio.sleep(20.0)
         term = records.decode_term(region.state.store.rows[records.TERM_KEY][0])
         assert term.version == 1 and "moss-2" in term.runs
--- a/tests/test_worker_tokens.py
+++ b/tests/test_worker_tokens.py
@@ -84,7 +84,7 @@
     @rule(arrives=st.booleans())
     def start(self, arrives):
         token = self.tokens.current(self.machine)
-        self.machine.started_with_token = token
+        self.machine.record_starts(token, [("j-000001/0", self.next_attempt)])
         self.sent.append((token, self.next_attempt))
         if arrives and self.receive(token):
             self.known.add(self.next_attempt)
@@ -94,12 +94,13 @@
     @rule(data=st.data(), arrives=st.booleans())
     def reap(self, data, arrives):
         attempt = data.draw(st.sampled_from(sorted(self.known)))
-        if not self.tokens.outdate_starts(self.machine):
+        if not self.tokens.outdate_starts(self.machine) and self.tokens.may_start_again(
+            self.machine, ("j-000001/0", attempt)
+        ):
             return
         if arrives and self.receive(self.tokens.current(self.machine)):
             self.known.discard(attempt)
-            if self.term.ranged:
-                self.reaped.add(attempt)
+            self.reaped.add(attempt)
 
     @precondition(lambda self: self.sent)
     @rule(data=st.data())
@@ -157,15 +158,22 @@
 
 
 def test_without_ranges_tokens_are_the_numbers_of_terms():
-    tokens, machine = WorkerTokens(Term(5, ranged=False)), make_machine()
-    machine.started_with_token = 5
+    term, machine = Term(5, ranged=False), make_machine()
+    tokens = WorkerTokens(term)
     assert tokens.outdate_starts(machine) and tokens.current(machine) == 5
+    # Only a later term outdates a start, whatever is forgotten of it.
+    machine.started_with_token = 5
+    assert not tokens.outdate_starts(machine) and tokens.current(machine) == 5
     tokens.reset()
-    assert tokens.current(machine) == 5
+    machine = make_machine()
+    assert not tokens.outdate_starts(machine) and tokens.current(machine) == 5
+    assert tokens.raised == term.new_terms_requested == 0
+    term.number = 6
+    assert tokens.outdate_starts(machine) and tokens.current(machine) == 6
 
 
-def make_intake():
-    term = Term()
+def make_intake(ranged=True):
+    term = Term(ranged=ranged)
     tokens, inventory, machine = WorkerTokens(term), Inventory(), make_machine()
     inventory.machines["vm-1"] = machine
     machine.started_with_token = tokens.current(machine)
@@ -187,6 +195,27 @@
     return intake, tokens
 
 
+def test_ended_attempts_wait_for_the_next_term_where_a_term_has_one_token():
+    """Guards against review/5: ran_twice by a copy of a start whose attempt had been reaped."""
+    intake, tokens = make_intake(ranged=False)
+    term, machine, bound = intake._leadership, intake._inventory.machines["vm-1"], 256
+    machine.record_starts(term.number, [(f"j-000001/{i}", 1) for i in range(bound + 1)])
+    for sequence, count in ((1, 1), (2, bound), (3, bound + 1), (4, bound + 1)):
+        exits = tuple(TaskReport(f"j-000001/{i}", 1, "exited", "done") for i in range(count))
+        report = make_report(sequence, term.number, exits)
+        assert intake.process(report, is_periodic=True) == []
+        assert bool(term.new_terms_requested) == (count > bound)
+    # In the next term they are reaped, whatever has been started with its token.
+    term.number += 1
+    machine.record_starts(term.number, [("j-000001/0", 2)])
+    exits += (TaskReport("j-000001/0", 2, "exited", "done"),)
+    reaps = intake.process(make_report(5, term.number - 1, exits), is_periodic=True)
+    assert [(c.op, c.task, c.attempt) for c in reaps] == [
+        ("reap", task.task, task.attempt) for task in exits[:-1]
+    ]
+    assert intake.answer_token(report) == tokens.lowest() == term.number
+
+
 def make_report(sequence, token, tasks):
     return Report("vm-1", "vm-1:9000", "small", "a", 1, sequence, token, tasks=tasks)
 
